--- /dev/null
+++ b/src/engine/types.cpp
@@ -0,0 +1,1 @@
+#include "bronzestand/types.h"
--- /dev/null
+++ b/src/node/placeholder.cpp
@@ -0,0 +1,1 @@
+namespace bronzestand {} // namespace bronzestand
--- /dev/null
+++ b/tests/unit/types_test.cpp
@@ -0,0 +1,11 @@
+#include "bronzestand/types.h"
+
+#include <catch2/catch.hpp>
+
+using namespace bronzestand;
+
+// Guards against identifiers that compare by anything but their value.
+TEST_CASE("strong_string_equal_values_compare_equal") {
+  CHECK(HostId("a") == HostId("a"));
+  CHECK(HostId("a") < HostId("b"));
+}
