--- /dev/null
+++ b/include/bronzestand/call.h
@@ -0,0 +1,83 @@
+#ifndef BRONZESTAND_CALL_H
+#define BRONZESTAND_CALL_H
+
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "bronzestand/refusal.h"
+#include "bronzestand/types.h"
+
+namespace bronzestand {
+
+struct Header {
+  std::string Name_;
+  std::string Value_;
+};
+
+/// Importance of a request, fixed at the entry and carried along its chain, so that every hop
+/// gives the same verdict (design section 9).
+struct Standing {
+  std::uint8_t ClassRank_ = 0; ///< higher is more important
+  std::uint8_t Band_ = 0;      ///< higher while the team is inside its fair share
+
+  std::uint16_t value() const {
+    return static_cast<std::uint16_t>((static_cast<unsigned>(ClassRank_) << 8U) | Band_);
+  }
+};
+
+/// Number of a call; unique within one incarnation of the node that sent it.
+using CallId = std::uint64_t;
+
+/// One call of a service, on its way from the calling node to an executor node.
+struct Call {
+  CallId Id_ = 0;
+  RequestId Request_;
+  TeamId Team_; ///< empty on open routes
+  ClassId Class_;
+  ServiceId Service_;
+  std::string Method_;
+  std::string Target_;
+  std::vector<Header> Headers_;
+  std::string Body_;
+  Duration TimeLeft_{};        ///< until the deadline, from the moment of sending
+  std::uint32_t Attempts_ = 0; ///< attempt allowance of this call and all below it
+  Standing Standing_;
+  std::string IdempotencyKey_; ///< empty when the route does not need one
+  std::string KeyId_;          ///< id of the caller's key, never the key
+  std::uint64_t Fingerprint_ = 0;
+  bool AtMostOnce_ = false;
+  bool Idempotent_ = false;
+};
+
+/// Admission level of a service: calls below the threshold are refused at the entry.
+struct ServiceLevel {
+  ServiceId Service_;
+  std::uint16_t Threshold_ = 0; ///< compared with Standing::value()
+};
+
+/// The end of a call, on its way back to the calling node.
+struct Answer {
+  CallId Id_ = 0;
+  Outcome Outcome_ = Outcome::Unknown;
+  Refusal Refusal_ = Refusal::ConnectionLost; ///< valid unless Outcome_ is Served
+  unsigned HttpStatus_ = 0;                   ///< valid if Outcome_ is Served
+  std::vector<Header> Headers_;
+  std::string Body_;
+  std::uint32_t UnusedAttempts_ = 0;
+  std::vector<ServiceLevel> Levels_;
+  bool Leaving_ = false; ///< the executor's host is leaving
+
+  static Answer refused(CallId Id, Refusal Reason) {
+    Answer Result;
+    Result.Id_ = Id;
+    Result.Outcome_ = refusalInfo(Reason).Outcome_;
+    Result.Refusal_ = Reason;
+    return Result;
+  }
+};
+
+} // namespace bronzestand
+
+#endif
--- /dev/null
+++ b/include/bronzestand/refusal.h
@@ -0,0 +1,60 @@
+#ifndef BRONZESTAND_REFUSAL_H
+#define BRONZESTAND_REFUSAL_H
+
+#include <optional>
+#include <string_view>
+
+namespace bronzestand {
+
+/// The three ends that a request can have.
+enum class Outcome {
+  Served,  ///< the whole answer of the backend server was delivered
+  NotRun,  ///< refused, and proven never to have reached a backend server
+  Unknown, ///< may have run
+};
+
+std::string_view outcomeName(Outcome Value);
+
+/// Why a request was not served. Design section 2 lists the conditions.
+enum class Refusal {
+  BadRequest,
+  KeyMissing,
+  KeyUnknown,
+  KeyAmbiguous,
+  RouteUnknown,
+  CallContextMissing,
+  IdempotencyKeyMissing,
+  IdempotencyKeyReused,
+  HeaderTooLarge,
+  BodyTooLarge,
+  OverTeamLimit,
+  Overloaded,
+  DeadlineTooShort,
+  NoBackendServer,
+  AttemptsExhausted,
+  Quarantined,
+  ClaimUnavailable,
+  NotReady,
+  ShuttingDown,
+  Cancelled,
+  ConnectionLost,
+  TimedOut,
+  OutcomeUnknown,
+};
+
+/// How a refusal appears to a caller.
+struct RefusalInfo {
+  std::string_view Name_;
+  unsigned HttpStatus_;
+  Outcome Outcome_;
+  bool MayRetry_; ///< the caller may send the same request again; Retry-After is set
+};
+
+const RefusalInfo &refusalInfo(Refusal Value);
+
+/// Finds a refusal by its name; nothing if no refusal has it.
+std::optional<Refusal> refusalByName(std::string_view Name);
+
+} // namespace bronzestand
+
+#endif
--- a/include/bronzestand/types.h
+++ b/include/bronzestand/types.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <utility>
 
@@ -37,9 +38,6 @@
   friend bool operator<(const StrongString &A, const StrongString &B) {
     return A.Value_ < B.Value_;
   }
-  template <typename H> friend H AbslHashValue(H State, const StrongString &S) {
-    return H::combine(std::move(State), S.Value_);
-  }
 
 private:
   std::string Value_;
@@ -61,4 +59,10 @@
 
 } // namespace bronzestand
 
+template <typename Tag> struct std::hash<bronzestand::StrongString<Tag>> {
+  std::size_t operator()(const bronzestand::StrongString<Tag> &Value) const noexcept {
+    return std::hash<std::string>()(Value.str());
+  }
+};
+
 #endif
--- a/src/engine/types.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-#include "bronzestand/types.h"
--- a/src/node/placeholder.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-namespace bronzestand {} // namespace bronzestand
--- /dev/null
+++ b/tests/unit/config_test.cpp
@@ -0,0 +1,62 @@
+#include "bronzestand/config.h"
+
+#include <catch2/catch.hpp>
+
+using namespace bronzestand;
+
+namespace {
+
+DocumentBody parsed(const std::string &Path, const std::string &Text) {
+  ParsedDocument Result = parseDocument(Path, Text);
+  for (const ErrorDetail &Error : Result.Errors_)
+    UNSCOPED_INFO(describe(Error));
+  REQUIRE(Result.Body_.has_value());
+  return *Result.Body_;
+}
+
+struct CatalogueFixture {
+  CatalogueFixture() {
+    put("classes/browsing", "{target: {served: 0.9, within: 800}}");
+    put("classes/confirming", "{target: {served: 0.99, within: 900}, may_be_shed: false}");
+    put("services/orders", "routes:\n"
+                           "- {method: GET, path: /orders/*, class: browsing}\n"
+                           "- {method: GET, path: /orders/open, class: confirming}\n");
+  }
+  void put(const std::string &Path, const std::string &Text) { Documents_.put(parsed(Path, Text)); }
+  Catalogue Documents_;
+};
+
+} // namespace
+
+// Guards against a check that stops at the first error.
+TEST_CASE("document_with_three_errors_reports_all") {
+  const ParsedDocument Result =
+      parseDocument("teams/wards", "{rate: -1, burst: x, keys: [{id: a, hash: zz}], weight: 3}");
+  CHECK_FALSE(Result.Body_.has_value());
+  CHECK(Result.Errors_.size() == 4);
+}
+
+// Guards against a crash on hostile text.
+TEST_CASE("document_with_bad_syntax_is_refused") {
+  CHECK_FALSE(parseDocument("teams/wards", "{rate: [").Body_.has_value());
+  CHECK_FALSE(parseDocument("teams/wards", "- 1").Body_.has_value());
+  CHECK_FALSE(parseDocument("nothing/here", "{}").Body_.has_value());
+}
+
+TEST_CASE_METHOD(CatalogueFixture, "route_exact_path_goes_before_prefix") {
+  const RouteSpec *Exact = Documents_.matchRoute("GET", "/orders/open");
+  const RouteSpec *Prefix = Documents_.matchRoute("GET", "/orders/7");
+  REQUIRE(Exact != nullptr);
+  REQUIRE(Prefix != nullptr);
+  CHECK(Exact->Class_ == ClassId("confirming"));
+  CHECK(Prefix->Class_ == ClassId("browsing"));
+  CHECK(Documents_.matchRoute("POST", "/orders/7") == nullptr);
+}
+
+// Guards against a protected class that ranks below one that may be shed.
+TEST_CASE_METHOD(CatalogueFixture, "rank_class_that_may_not_be_shed_is_highest") {
+  put("classes/urgent", "{target: {served: 1.0, within: 1}, may_wait: false}");
+  CHECK(Documents_.rankOf(ClassId("confirming")) > Documents_.rankOf(ClassId("urgent")));
+  CHECK(Documents_.rankOf(ClassId("urgent")) > Documents_.rankOf(ClassId("browsing")));
+  CHECK(Documents_.rankOf(ClassId("none")) == 0);
+}
--- /dev/null
+++ b/tests/unit/key_table_test.cpp
@@ -0,0 +1,42 @@
+#include "bronzestand/key_table.h"
+
+#include <catch2/catch.hpp>
+
+using namespace bronzestand;
+
+namespace {
+
+struct KeyTableFixture {
+  void setTeam(const std::string &Name, bool Withdrawn) {
+    TeamSpec Team;
+    Team.Name_ = TeamId(Name);
+    Team.Keys_ = {{"k1", hashKey("salt", "secret"), Withdrawn}};
+    Documents_.put(Team);
+    FleetSpec Fleet;
+    Fleet.KeySalt_ = "salt";
+    Documents_.put(Fleet);
+    Keys_.rebuild(Documents_);
+  }
+  Catalogue Documents_;
+  KeyTable Keys_;
+};
+
+} // namespace
+
+// Guards against a key that works for the wrong team or not at all.
+TEST_CASE_METHOD(KeyTableFixture, "key_valid_gives_its_team") {
+  setTeam("wards", false);
+  const auto Owner = Keys_.authenticate("secret");
+  REQUIRE(Owner.has_value());
+  CHECK(Owner->Team_ == TeamId("wards"));
+  CHECK_FALSE(Keys_.authenticate("Secret").has_value());
+}
+
+// Guards against a withdrawn key that still passes, at the entry or for queued work.
+TEST_CASE_METHOD(KeyTableFixture, "key_withdrawn_is_rejected") {
+  setTeam("wards", false);
+  CHECK(Keys_.isValid(TeamId("wards"), "k1"));
+  setTeam("wards", true);
+  CHECK_FALSE(Keys_.authenticate("secret").has_value());
+  CHECK_FALSE(Keys_.isValid(TeamId("wards"), "k1"));
+}
