--- /dev/null
+++ b/src/node/caller_key.h
@@ -0,0 +1,27 @@
+#ifndef BRONZESTAND_NODE_CALLER_KEY_H
+#define BRONZESTAND_NODE_CALLER_KEY_H
+
+#include <optional>
+#include <string>
+
+#include "node/http_message.h"
+
+namespace bronzestand::node {
+
+/// Result of taking the key out of a request.
+struct TakenKey {
+  std::optional<std::string> Key_;
+  bool Ambiguous_ = false; ///< the request carried two different keys
+};
+
+/// Removes every form of a caller's key from a request and returns the key: the headers
+/// Authorization (Bearer) and X-Api-Key and the query parameter api_key. Other forms of
+/// Authorization and Proxy-Authorization are removed as well.
+TakenKey takeKey(HttpRequest &Request);
+
+/// Removes headers that only a node may set.
+void removeNodeHeaders(HttpRequest &Request);
+
+} // namespace bronzestand::node
+
+#endif
--- /dev/null
+++ b/src/node/codec_call.cpp
@@ -0,0 +1,87 @@
+#include "node/codec_call.h"
+
+namespace bronzestand {
+namespace {
+
+using nlohmann::json;
+
+// Bodies are bytes, not text, so they travel as CBOR byte strings.
+json toBinary(const std::string &Text) {
+  return json::binary(std::vector<std::uint8_t>(Text.begin(), Text.end()));
+}
+
+std::string fromBinary(const json &In) {
+  const auto &Bytes = In.get_binary();
+  return std::string(Bytes.begin(), Bytes.end());
+}
+
+template <typename Enum> Enum checkedEnum(const json &In, Enum Last) {
+  const auto Value = In.get<unsigned>();
+  if (Value > static_cast<unsigned>(Last))
+    throw json::out_of_range::create(401, "enumerator out of range", &In);
+  return static_cast<Enum>(Value);
+}
+
+} // namespace
+
+void to_json(json &Out, const Header &In) { Out = json::array({In.Name_, In.Value_}); }
+
+void from_json(const json &In, Header &Out) {
+  In.at(0).get_to(Out.Name_);
+  In.at(1).get_to(Out.Value_);
+}
+
+void to_json(json &Out, const ServiceLevel &In) { Out = json::array({In.Service_, In.Threshold_}); }
+
+void from_json(const json &In, ServiceLevel &Out) {
+  In.at(0).get_to(Out.Service_);
+  In.at(1).get_to(Out.Threshold_);
+}
+
+void to_json(json &Out, const Call &In) {
+  Out = json::array({In.Id_, In.Request_, In.Team_, In.Class_, In.Service_, In.Method_, In.Target_,
+                     In.Headers_, toBinary(In.Body_), In.TimeLeft_.count(), In.Attempts_,
+                     In.Standing_.value(), In.IdempotencyKey_, In.KeyId_, In.Fingerprint_,
+                     In.AtMostOnce_, In.Idempotent_});
+}
+
+void from_json(const json &In, Call &Out) {
+  In.at(0).get_to(Out.Id_);
+  In.at(1).get_to(Out.Request_);
+  In.at(2).get_to(Out.Team_);
+  In.at(3).get_to(Out.Class_);
+  In.at(4).get_to(Out.Service_);
+  In.at(5).get_to(Out.Method_);
+  In.at(6).get_to(Out.Target_);
+  In.at(7).get_to(Out.Headers_);
+  Out.Body_ = fromBinary(In.at(8));
+  Out.TimeLeft_ = Duration(In.at(9).get<Duration::rep>());
+  In.at(10).get_to(Out.Attempts_);
+  const auto Value = In.at(11).get<std::uint16_t>();
+  Out.Standing_ = {static_cast<std::uint8_t>(Value >> 8U), static_cast<std::uint8_t>(Value)};
+  In.at(12).get_to(Out.IdempotencyKey_);
+  In.at(13).get_to(Out.KeyId_);
+  In.at(14).get_to(Out.Fingerprint_);
+  In.at(15).get_to(Out.AtMostOnce_);
+  In.at(16).get_to(Out.Idempotent_);
+}
+
+void to_json(json &Out, const Answer &In) {
+  Out = json::array({In.Id_, static_cast<unsigned>(In.Outcome_), static_cast<unsigned>(In.Refusal_),
+                     In.HttpStatus_, In.Headers_, toBinary(In.Body_), In.UnusedAttempts_,
+                     In.Levels_, In.Leaving_});
+}
+
+void from_json(const json &In, Answer &Out) {
+  In.at(0).get_to(Out.Id_);
+  Out.Outcome_ = checkedEnum(In.at(1), Outcome::Unknown);
+  Out.Refusal_ = checkedEnum(In.at(2), Refusal::OutcomeUnknown);
+  In.at(3).get_to(Out.HttpStatus_);
+  In.at(4).get_to(Out.Headers_);
+  Out.Body_ = fromBinary(In.at(5));
+  In.at(6).get_to(Out.UnusedAttempts_);
+  In.at(7).get_to(Out.Levels_);
+  In.at(8).get_to(Out.Leaving_);
+}
+
+} // namespace bronzestand
--- /dev/null
+++ b/src/node/codec_call.h
@@ -0,0 +1,29 @@
+#ifndef BRONZESTAND_NODE_CODEC_CALL_H
+#define BRONZESTAND_NODE_CODEC_CALL_H
+
+#include <nlohmann/json.hpp>
+
+#include "bronzestand/call.h"
+
+namespace bronzestand {
+
+/// CBOR form of calls and answers. Fields are positional, to keep messages small.
+void to_json(nlohmann::json &Out, const Header &In);
+void from_json(const nlohmann::json &In, Header &Out);
+void to_json(nlohmann::json &Out, const ServiceLevel &In);
+void from_json(const nlohmann::json &In, ServiceLevel &Out);
+void to_json(nlohmann::json &Out, const Call &In);
+void from_json(const nlohmann::json &In, Call &Out);
+void to_json(nlohmann::json &Out, const Answer &In);
+void from_json(const nlohmann::json &In, Answer &Out);
+
+template <typename Tag> void to_json(nlohmann::json &Out, const StrongString<Tag> &In) {
+  Out = In.str();
+}
+template <typename Tag> void from_json(const nlohmann::json &In, StrongString<Tag> &Out) {
+  Out = StrongString<Tag>(In.get<std::string>());
+}
+
+} // namespace bronzestand
+
+#endif
--- /dev/null
+++ b/src/node/executor.cpp
@@ -0,0 +1,138 @@
+#include "node/executor.h"
+
+#include "node/clock.h"
+
+namespace bronzestand::node {
+namespace {
+
+constexpr std::size_t MaxBackendConnections = 100;
+
+std::string toMilliseconds(Duration Time) {
+  return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(Time).count());
+}
+
+} // namespace
+
+Executor::Executor(boost::asio::io_context &Io, const Settings &Config, const ConfigPart &Documents,
+                   CallContexts &Contexts)
+    : Config_(Config), Documents_(Documents), Contexts_(Contexts), Log_(makeLogger("executor")),
+      Backend_(Io, Config.BackendServer_, MaxBackendConnections) {}
+
+void Executor::submit(const HostId &Caller, Call Request, Reply Done) {
+  const CallKey Key(Caller, Request.Id_);
+  if (Running_.count(Key) != 0)
+    return; // a doubled message; the first one is answered
+  RunningCall &Item = Running_[Key];
+  Item.Call_ = std::move(Request);
+  Item.Done_ = std::move(Done);
+  const Call &Current = Item.Call_;
+  if (Draining_)
+    finish(Key, Answer::refused(Current.Id_, Refusal::ShuttingDown));
+  else if (Current.TimeLeft_ <= Duration::zero())
+    finish(Key, Answer::refused(Current.Id_, Refusal::DeadlineTooShort));
+  else if (!Current.Team_.empty() && !Documents_.keys().isValid(Current.Team_, Current.KeyId_))
+    finish(Key, Answer::refused(Current.Id_, Refusal::KeyUnknown));
+  else
+    dispatch(Key);
+}
+
+void Executor::dispatch(const CallKey &Key) {
+  RunningCall &Item = Running_.at(Key);
+  const Call &Current = Item.Call_;
+  CallContext Context;
+  Context.Request_ = Current.Request_;
+  Context.Team_ = Current.Team_;
+  Context.KeyId_ = Current.KeyId_;
+  Context.Class_ = Current.Class_;
+  Context.Standing_ = Current.Standing_;
+  Context.Deadline_ = now() + Current.TimeLeft_;
+  Context.IdempotencyKey_ = Current.IdempotencyKey_;
+  // The call itself uses one attempt of its allowance.
+  Context.AttemptsLeft_ = Current.Attempts_ == 0 ? 0 : Current.Attempts_ - 1;
+  Item.Token_ = Contexts_.add(std::move(Context));
+
+  HttpRequest Request;
+  Request.Method_ = Current.Method_;
+  Request.Target_ = Current.Target_;
+  Request.Headers_ = Current.Headers_;
+  Request.Body_ = Current.Body_;
+  const auto Set = [&](const char *Name, std::string Value) {
+    if (!Value.empty())
+      Request.Headers_.push_back({Name, std::move(Value)});
+  };
+  Set("Bronzestand-Call", Item.Token_);
+  Set("Bronzestand-Request-Id", Current.Request_.str());
+  Set("Bronzestand-Team", Current.Team_.str());
+  Set("Bronzestand-Class", Current.Class_.str());
+  Set("Bronzestand-Deadline-Ms", toMilliseconds(Current.TimeLeft_));
+  Set("Idempotency-Key", Current.IdempotencyKey_);
+  Item.Request_ = Backend_.send(std::move(Request), Current.TimeLeft_,
+                                [this, Key](HttpResult Result, HttpResponse Response) {
+                                  onBackendResult(Key, Result, std::move(Response));
+                                });
+}
+
+void Executor::onBackendResult(const CallKey &Key, HttpResult Result, HttpResponse Response) {
+  const auto Found = Running_.find(Key);
+  if (Found == Running_.end())
+    return;
+  const CallId Id = Found->second.Call_.Id_;
+  Answer Done;
+  switch (Result) {
+  case HttpResult::Answered:
+    Done.Id_ = Id;
+    Done.Outcome_ = Outcome::Served;
+    Done.HttpStatus_ = Response.Status_;
+    Done.Headers_ = std::move(Response.Headers_);
+    Done.Body_ = std::move(Response.Body_);
+    break;
+  case HttpResult::NotSent:
+    Done = Answer::refused(Id, Refusal::NoBackendServer);
+    break;
+  case HttpResult::TimedOut:
+    Done = Answer::refused(Id, Refusal::TimedOut);
+    break;
+  case HttpResult::Lost:
+  case HttpResult::Cancelled:
+    Done = Answer::refused(Id, Refusal::ConnectionLost);
+    break;
+  }
+  finish(Key, std::move(Done));
+}
+
+void Executor::finish(const CallKey &Key, Answer Result) {
+  const auto Found = Running_.find(Key);
+  if (Found == Running_.end())
+    return;
+  const RunningCall Item = std::move(Found->second);
+  Running_.erase(Found);
+  const bool Ran = !Item.Token_.empty();
+  Result.UnusedAttempts_ = Item.Call_.Attempts_;
+  if (const auto Context = Contexts_.remove(Item.Token_))
+    Result.UnusedAttempts_ = Context->AttemptsLeft_;
+  else if (Ran)
+    Result.UnusedAttempts_ = 0;
+  Result.Leaving_ = Draining_;
+  ++(Result.Outcome_ == Outcome::Served   ? Served_
+     : Result.Outcome_ == Outcome::NotRun ? Refused_
+                                          : Unknown_);
+  Item.Done_(std::move(Result));
+}
+
+void Executor::cancel(const HostId &Caller, CallId Id) {
+  const auto Found = Running_.find({Caller, Id});
+  if (Found != Running_.end())
+    Backend_.cancel(Found->second.Request_);
+}
+
+nlohmann::json Executor::dump() const {
+  return {{"running", Running_.size()},
+          {"backend_server", Config_.BackendServer_.str()},
+          {"backend_connections", Backend_.connections()},
+          {"served", Served_},
+          {"refused", Refused_},
+          {"unknown", Unknown_},
+          {"draining", Draining_}};
+}
+
+} // namespace bronzestand::node
--- /dev/null
+++ b/src/node/executor.h
@@ -0,0 +1,64 @@
+#ifndef BRONZESTAND_NODE_EXECUTOR_H
+#define BRONZESTAND_NODE_EXECUTOR_H
+
+#include <functional>
+#include <map>
+#include <utility>
+
+#include "node/call_contexts.h"
+#include "node/config_part.h"
+#include "node/http_client.h"
+#include "node/part.h"
+
+namespace bronzestand::node {
+
+/// Runs calls on the local backend server (design sections 2 and 9).
+class Executor final : public Part {
+public:
+  using Reply = std::function<void(Answer Result)>;
+
+  Executor(boost::asio::io_context &Io, const Settings &Config, const ConfigPart &Documents,
+           CallContexts &Contexts);
+
+  /// Takes a call. Reply is called once, unless the call is cancelled before.
+  /// \param Caller node that sent the call; with the call's id it names the call.
+  void submit(const HostId &Caller, Call Request, Reply Done);
+  /// Cancels a call whose answer nobody waits for.
+  void cancel(const HostId &Caller, CallId Id);
+  /// Refuses new calls from now on.
+  void drain() { Draining_ = true; }
+  std::size_t running() const { return Running_.size(); }
+
+  std::string_view name() const override { return "executor"; }
+  absl::Status start() override { return absl::OkStatus(); }
+  void stop() override {}
+  nlohmann::json dump() const override;
+
+private:
+  using CallKey = std::pair<HostId, CallId>;
+  struct RunningCall {
+    Call Call_;
+    Reply Done_;
+    std::string Token_;
+    HttpClient::RequestNumber Request_ = 0;
+  };
+
+  void dispatch(const CallKey &Key);
+  void onBackendResult(const CallKey &Key, HttpResult Result, HttpResponse Response);
+  void finish(const CallKey &Key, Answer Result);
+
+  const Settings &Config_;
+  const ConfigPart &Documents_;
+  CallContexts &Contexts_;
+  Logger Log_;
+  HttpClient Backend_;
+  std::map<CallKey, RunningCall> Running_;
+  bool Draining_ = false;
+  std::uint64_t Served_ = 0;
+  std::uint64_t Refused_ = 0;
+  std::uint64_t Unknown_ = 0;
+};
+
+} // namespace bronzestand::node
+
+#endif
--- /dev/null
+++ b/src/node/http_server.cpp
@@ -0,0 +1,311 @@
+#include "node/http_server.h"
+
+#include <sys/socket.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/intrusive/list.hpp>
+
+namespace bronzestand::node {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+namespace intrusive = boost::intrusive;
+using tcp = asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+/// What the server needs to know of a session. Sessions own themselves through the handlers of
+/// their pending operations; the list only enumerates them.
+class SessionBase : public boost::intrusive_ref_counter<SessionBase, boost::thread_unsafe_counter>,
+                    public intrusive::list_base_hook<intrusive::link_mode<intrusive::auto_unlink>> {
+public:
+  virtual ~SessionBase() = default;
+  virtual void close() = 0;
+  virtual bool isIdle() const = 0;
+};
+using SessionList = intrusive::list<SessionBase, intrusive::constant_time_size<false>>;
+
+/// State that the sessions of one server share.
+struct ServerState {
+  HttpServerLimits Limits_;
+  HttpHandler Handler_;
+  SessionList Sessions_;
+  std::size_t RunningRequests_ = 0;
+  bool Draining_ = false;
+};
+
+/// Maps a parse error to the refusal that the caller gets.
+Refusal refusalOf(const error_code &Failure) {
+  if (Failure == http::error::header_limit || Failure == http::error::buffer_overflow)
+    return Refusal::HeaderTooLarge;
+  if (Failure == http::error::body_limit)
+    return Refusal::BodyTooLarge;
+  return Refusal::BadRequest;
+}
+
+bool isParseError(const error_code &Failure) {
+  return Failure.category() == http::make_error_code(http::error::bad_method).category() &&
+         Failure != http::error::end_of_stream && Failure != http::error::partial_message;
+}
+
+class Session final : public SessionBase {
+public:
+  Session(tcp::socket Socket, std::shared_ptr<ServerState> State)
+      : Stream_(std::move(Socket)), State_(std::move(State)) {}
+
+  void readNext();
+  void respond(std::uint64_t RequestNumber, HttpResponse Response);
+  void setCancel(std::uint64_t RequestNumber, std::function<void()> Callback);
+  void close() override;
+  bool isIdle() const override { return !Running_; }
+
+private:
+  friend class Exchange;
+  using Parser = http::request_parser<http::string_body>;
+
+  void onRead(const error_code &Failure);
+  void refuse(Refusal Reason);
+  void handle();
+  void watchForClose();
+  void write(HttpResponse Response, bool KeepAlive);
+  void finishRequest();
+
+  beast::tcp_stream Stream_;
+  std::shared_ptr<ServerState> State_;
+  beast::flat_buffer Buffer_;
+  std::optional<Parser> Parser_;
+  std::optional<http::response<http::string_body>> Response_;
+  std::function<void()> Cancel_;
+  std::uint64_t RequestNumber_ = 0;
+  bool KeepAlive_ = true;
+  bool Running_ = false;
+};
+using SessionPtr = boost::intrusive_ptr<Session>;
+
+class Exchange final : public HttpExchange {
+public:
+  Exchange(SessionPtr Owner, std::uint64_t Number) : Owner_(std::move(Owner)), Number_(Number) {}
+  ~Exchange() override {
+    // A handler that drops the exchange must not leave the caller without an answer.
+    Owner_->respond(Number_, refusalResponse(Refusal::ConnectionLost, RequestId()));
+  }
+  void respond(HttpResponse Response) override { Owner_->respond(Number_, std::move(Response)); }
+  void onCancelled(std::function<void()> Callback) override {
+    Owner_->setCancel(Number_, std::move(Callback));
+  }
+
+private:
+  SessionPtr Owner_;
+  std::uint64_t Number_;
+};
+
+void Session::readNext() {
+  if (State_->Draining_) {
+    close();
+    return;
+  }
+  Parser_.emplace();
+  Parser_->header_limit(State_->Limits_.HeaderBytes_);
+  Parser_->body_limit(State_->Limits_.BodyBytes_);
+  const bool Started = Buffer_.size() != 0;
+  Stream_.expires_after(Started ? State_->Limits_.ReadTimeout_ : State_->Limits_.IdleTimeout_);
+  http::async_read_header(Stream_, Buffer_, *Parser_,
+                          [Self = SessionPtr(this)](error_code Failure, std::size_t) {
+                            if (Failure) {
+                              Self->onRead(Failure);
+                              return;
+                            }
+                            Self->Stream_.expires_after(Self->State_->Limits_.ReadTimeout_);
+                            http::async_read(Self->Stream_, Self->Buffer_, *Self->Parser_,
+                                             [Self](error_code BodyFailure, std::size_t) {
+                                               Self->onRead(BodyFailure);
+                                             });
+                          });
+}
+
+void Session::onRead(const error_code &Failure) {
+  Stream_.expires_never();
+  if (!Failure) {
+    handle();
+  } else if (isParseError(Failure)) {
+    refuse(refusalOf(Failure));
+  } else {
+    close();
+  }
+}
+
+void Session::refuse(Refusal Reason) {
+  Running_ = true;
+  ++State_->RunningRequests_;
+  ++RequestNumber_;
+  write(refusalResponse(Reason, RequestId()), false);
+}
+
+void Session::handle() {
+  auto Message = Parser_->release();
+  KeepAlive_ = Message.keep_alive();
+  HttpRequest Request;
+  Request.Method_ = std::string(Message.method_string());
+  Request.Target_ = std::string(Message.target());
+  for (const auto &Field : Message)
+    Request.Headers_.push_back({std::string(Field.name_string()), std::string(Field.value())});
+  Request.Body_ = std::move(Message.body());
+  Running_ = true;
+  ++State_->RunningRequests_;
+  ++RequestNumber_;
+  const HttpExchangePtr Current(new Exchange(SessionPtr(this), RequestNumber_));
+  watchForClose();
+  State_->Handler_(std::move(Request), Current);
+}
+
+void Session::watchForClose() {
+  const std::uint64_t Number = RequestNumber_;
+  Stream_.socket().async_wait(
+      tcp::socket::wait_read, [Self = SessionPtr(this), Number](error_code Failure) {
+        if (!Self->Running_ || Self->RequestNumber_ != Number || !Self->Cancel_)
+          return;
+        char Byte = 0;
+        const ssize_t Count =
+            ::recv(Self->Stream_.socket().native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        const bool Closed = Failure || Count == 0 || (Count < 0 && errno != EAGAIN);
+        // Readable data is a pipelined request; it is read after this answer.
+        if (Closed)
+          std::exchange(Self->Cancel_, nullptr)();
+      });
+}
+
+void Session::setCancel(std::uint64_t RequestNumber, std::function<void()> Callback) {
+  if (Running_ && RequestNumber == RequestNumber_)
+    Cancel_ = std::move(Callback);
+}
+
+void Session::respond(std::uint64_t RequestNumber, HttpResponse Response) {
+  if (!Running_ || RequestNumber != RequestNumber_ || Response_)
+    return;
+  write(std::move(Response), KeepAlive_ && !State_->Draining_);
+}
+
+void Session::write(HttpResponse Response, bool KeepAlive) {
+  Cancel_ = nullptr;
+  Response_.emplace(http::int_to_status(Response.Status_), 11U);
+  Response_->result(Response.Status_);
+  for (const Header &Field : Response.Headers_)
+    if (!isHopByHop(Field.Name_))
+      Response_->insert(Field.Name_, Field.Value_);
+  Response_->keep_alive(KeepAlive);
+  Response_->body() = std::move(Response.Body_);
+  Response_->prepare_payload();
+  Stream_.expires_after(State_->Limits_.ReadTimeout_);
+  http::async_write(Stream_, *Response_,
+                    [Self = SessionPtr(this), KeepAlive](error_code Failure, std::size_t) {
+                      Self->finishRequest();
+                      if (Failure || !KeepAlive)
+                        Self->close();
+                      else
+                        Self->readNext();
+                    });
+}
+
+void Session::finishRequest() {
+  Response_.reset();
+  if (std::exchange(Running_, false))
+    --State_->RunningRequests_;
+}
+
+void Session::close() {
+  error_code Ignored;
+  Stream_.socket().shutdown(tcp::socket::shutdown_both, Ignored);
+  Stream_.close();
+  if (auto Callback = std::exchange(Cancel_, nullptr))
+    Callback();
+}
+
+} // namespace
+
+class HttpServer::Impl {
+public:
+  Impl(asio::io_context &Io, Endpoint Listen, HttpServerLimits Limits, HttpHandler Handler)
+      : Io_(Io), Listen_(std::move(Listen)), Acceptor_(Io),
+        State_(std::make_shared<ServerState>()) {
+    State_->Limits_ = Limits;
+    State_->Handler_ = std::move(Handler);
+  }
+
+  absl::Status start() {
+    error_code Failure;
+    const tcp::endpoint Address(asio::ip::make_address(Listen_.Address_, Failure), Listen_.Port_);
+    if (!Failure)
+      Acceptor_.open(Address.protocol(), Failure);
+    if (!Failure)
+      Acceptor_.set_option(tcp::acceptor::reuse_address(true), Failure);
+    if (!Failure)
+      Acceptor_.bind(Address, Failure);
+    if (!Failure)
+      Acceptor_.listen(asio::socket_base::max_listen_connections, Failure);
+    if (Failure)
+      return makeError({ErrorCode::ListenFailed, Listen_.str(), "", Failure.message()});
+    accept();
+    return absl::OkStatus();
+  }
+
+  void drain() {
+    State_->Draining_ = true;
+    error_code Ignored;
+    Acceptor_.close(Ignored);
+    closeWhere([](const SessionBase &Item) { return Item.isIdle(); });
+  }
+
+  void stop() {
+    drain();
+    closeWhere([](const SessionBase &) { return true; });
+  }
+
+  std::size_t connections() const { return State_->Sessions_.size(); }
+  std::size_t runningRequests() const { return State_->RunningRequests_; }
+
+private:
+  template <typename Predicate> void closeWhere(Predicate Matches) {
+    std::vector<boost::intrusive_ptr<SessionBase>> Closing;
+    for (SessionBase &Item : State_->Sessions_)
+      if (Matches(Item))
+        Closing.emplace_back(&Item);
+    for (const auto &Item : Closing)
+      Item->close();
+  }
+
+  void accept() {
+    Acceptor_.async_accept([this, State = State_](error_code Failure, tcp::socket Socket) {
+      if (Failure == asio::error::operation_aborted || State->Draining_)
+        return;
+      if (!Failure && connections() < State->Limits_.Connections_) {
+        error_code Ignored;
+        Socket.set_option(tcp::no_delay(true), Ignored);
+        const SessionPtr Item(new Session(std::move(Socket), State));
+        State->Sessions_.push_back(*Item);
+        Item->readNext();
+      }
+      accept();
+    });
+  }
+
+  asio::io_context &Io_;
+  Endpoint Listen_;
+  tcp::acceptor Acceptor_;
+  std::shared_ptr<ServerState> State_;
+};
+
+HttpServer::HttpServer(asio::io_context &Io, Endpoint Listen, HttpServerLimits Limits,
+                       HttpHandler Handler)
+    : Impl_(std::make_unique<Impl>(Io, std::move(Listen), Limits, std::move(Handler))) {}
+HttpServer::~HttpServer() = default;
+absl::Status HttpServer::start() { return Impl_->start(); }
+void HttpServer::drain() { Impl_->drain(); }
+void HttpServer::stop() { Impl_->stop(); }
+std::size_t HttpServer::connections() const { return Impl_->connections(); }
+std::size_t HttpServer::runningRequests() const { return Impl_->runningRequests(); }
+
+} // namespace bronzestand::node
--- /dev/null
+++ b/src/node/http_server.h
@@ -0,0 +1,64 @@
+#ifndef BRONZESTAND_NODE_HTTP_SERVER_H
+#define BRONZESTAND_NODE_HTTP_SERVER_H
+
+#include <functional>
+#include <memory>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+
+#include "absl/status/status.h"
+#include "node/http_message.h"
+#include "node/settings.h"
+
+namespace bronzestand::node {
+
+/// One request on a server connection and the way to answer it.
+class HttpExchange
+    : public boost::intrusive_ref_counter<HttpExchange, boost::thread_unsafe_counter> {
+public:
+  virtual ~HttpExchange() = default;
+  /// Sends the answer. Only the first call has an effect.
+  virtual void respond(HttpResponse Response) = 0;
+  /// Sets what is done when the caller closes the connection before the answer.
+  virtual void onCancelled(std::function<void()> Callback) = 0;
+};
+using HttpExchangePtr = boost::intrusive_ptr<HttpExchange>;
+
+using HttpHandler = std::function<void(HttpRequest Request, HttpExchangePtr Exchange)>;
+
+struct HttpServerLimits {
+  std::uint32_t HeaderBytes_ = 16 * 1024;
+  std::uint64_t BodyBytes_ = 1024ULL * 1024;
+  /// A request that takes longer to arrive is dropped, so that slow senders hold no connection.
+  std::chrono::seconds ReadTimeout_{15};
+  std::chrono::seconds IdleTimeout_{60};
+  std::size_t Connections_ = 1024;
+};
+
+/// HTTP/1.1 server with keep-alive and pipelining. Runs on one io_context thread.
+class HttpServer {
+public:
+  HttpServer(boost::asio::io_context &Io, Endpoint Listen, HttpServerLimits Limits,
+             HttpHandler Handler);
+  HttpServer(const HttpServer &) = delete;
+  HttpServer &operator=(const HttpServer &) = delete;
+  ~HttpServer();
+
+  absl::Status start();
+  /// Stops accepting connections and closes idle ones; running requests are finished.
+  void drain();
+  /// Closes everything at once.
+  void stop();
+  std::size_t connections() const;
+  std::size_t runningRequests() const;
+
+private:
+  class Impl;
+  std::unique_ptr<Impl> Impl_;
+};
+
+} // namespace bronzestand::node
+
+#endif
--- /dev/null
+++ b/src/node/log.h
@@ -0,0 +1,29 @@
+#ifndef BRONZESTAND_NODE_LOG_H
+#define BRONZESTAND_NODE_LOG_H
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include <spdlog/spdlog.h>
+
+namespace bronzestand::node {
+
+using Logger = std::shared_ptr<spdlog::logger>;
+
+/// How log lines are written; from the settings.
+struct LogSettings {
+  bool Json_ = false;
+  std::string Level_ = "info";
+  std::map<std::string, std::string> PartLevels_;
+};
+
+/// Sets the format and the levels. Call before the first makeLogger.
+void configureLogging(const LogSettings &Settings);
+
+/// Returns the logger of a part. Its name is the fixed prefix of each line.
+Logger makeLogger(const std::string &Part);
+
+} // namespace bronzestand::node
+
+#endif
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -1,1 +1,80 @@
-int main() { return 0; }
+#include <csignal>
+#include <functional>
+#include <iostream>
+#include <map>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <docopt/docopt.h>
+
+#include "node/node.h"
+
+namespace {
+
+constexpr const char *Usage = R"(bronzestandd: the node that runs beside one backend server.
+
+Usage:
+  bronzestandd --settings FILE [--check]
+  bronzestandd --help
+
+Options:
+  --settings FILE  YAML settings of this node.
+  --check          Check the settings, print all errors and exit.
+  --help           Show this text.
+
+Signals: SIGTERM and SIGINT shut down gracefully; a second one ends at once.
+Exit codes: 0 stopped, 1 settings with errors, 2 wrong usage, 3 could not start.
+)";
+
+enum ExitCode { Stopped = 0, SettingsInvalid = 1, UsageInvalid = 2, StartFailed = 3 };
+
+int run(const bronzestand::node::Settings &Config) {
+  using namespace bronzestand::node;
+  configureLogging(Config.Log_);
+  std::signal(SIGPIPE, SIG_IGN);
+  boost::asio::io_context Io(1);
+  Node Daemon(Io, Config);
+  boost::asio::signal_set Signals(Io, SIGTERM, SIGINT);
+  std::function<void()> WaitForSignal = [&] {
+    Signals.async_wait([&](const boost::system::error_code &Failure, int) {
+      if (Failure)
+        return;
+      Daemon.shutdown();
+      WaitForSignal();
+    });
+  };
+  WaitForSignal();
+  const absl::Status Result = Daemon.start();
+  if (!Result.ok()) {
+    std::cerr << "bronzestandd: " << Result.message() << "\n";
+    return StartFailed;
+  }
+  Io.run();
+  return Stopped;
+}
+
+} // namespace
+
+int main(int argc, char **argv) {
+  std::map<std::string, docopt::value> Arguments;
+  try {
+    Arguments = docopt::docopt_parse(Usage, {argv + 1, argv + argc}, true);
+  } catch (const docopt::DocoptExitHelp &) {
+    std::cout << Usage;
+    return Stopped;
+  } catch (const std::exception &) {
+    std::cerr << Usage;
+    return UsageInvalid;
+  }
+  const auto Loaded = bronzestand::node::loadSettings(Arguments["--settings"].asString());
+  for (const auto &Error : Loaded.Errors_)
+    std::cerr << bronzestand::describe(Error) << "\n";
+  if (!Loaded.Errors_.empty())
+    return SettingsInvalid;
+  if (Arguments["--check"].asBool()) {
+    std::cout << "settings are valid\n";
+    return Stopped;
+  }
+  return run(Loaded.Settings_);
+}
--- /dev/null
+++ b/src/node/node.cpp
@@ -0,0 +1,168 @@
+#include "node/node.h"
+
+#include <functional>
+
+#include "node/call_contexts.h"
+#include "node/clock.h"
+#include "node/config_part.h"
+#include "node/executor.h"
+#include "node/http_server.h"
+#include "node/peer_links.h"
+#include "node/platform_reader.h"
+#include "node/router.h"
+#include "node/supervisor.h"
+
+namespace bronzestand::node {
+namespace {
+
+constexpr Duration TickInterval = std::chrono::milliseconds(100);
+constexpr std::string_view JsonType = "application/json";
+
+HttpResponse textResponse(unsigned Status, std::string_view Type, std::string Body) {
+  HttpResponse Response;
+  Response.Status_ = Status;
+  Response.Headers_ = {{"Content-Type", std::string(Type)}};
+  Response.Body_ = std::move(Body);
+  return Response;
+}
+
+} // namespace
+
+class Node::Impl {
+public:
+  Impl(boost::asio::io_context &Io, Settings Config)
+      : Io_(Io), Config_(std::move(Config)), Run_(wallMicroseconds()), Log_(makeLogger("node")),
+        Timer_(Io), Links_(Io, Config_, Run_), Reader_(Io, Config_), Documents_(Reader_),
+        Executor_(Io, Config_, Documents_, Contexts_),
+        Router_({Io, Config_, Documents_, Contexts_, Links_, Executor_}, Run_),
+        CallerServer_(Io, Config_.CallerListen_, {},
+                      [this](HttpRequest Request, const HttpExchangePtr &Exchange) {
+                        Router_.handleCaller(std::move(Request), Exchange);
+                      }),
+        EgressServer_(Io, Config_.EgressListen_, {},
+                      [this](HttpRequest Request, const HttpExchangePtr &Exchange) {
+                        Router_.handleEgress(std::move(Request), Exchange);
+                      }),
+        OperatorServer_(Io, Config_.OperatorListen_, {},
+                        [this](const HttpRequest &Request, const HttpExchangePtr &Exchange) {
+                          handleOperator(Request, Exchange);
+                        }) {}
+
+  absl::Status start() {
+    Links_.setResolver([this](const HostId &Host) { return addressOf(Host); });
+    for (Part *Child : children())
+      Supervisor_.add(*Child);
+    for (HttpServer *Server : {&OperatorServer_, &EgressServer_}) {
+      absl::Status Result = Server->start();
+      if (!Result.ok())
+        return Result;
+    }
+    absl::Status Result = Supervisor_.start();
+    if (!Result.ok())
+      return Result;
+    scheduleTick();
+    Log_->info("host {} runs, callers at {}", Config_.Host_.str(), Config_.CallerListen_.str());
+    return CallerServer_.start();
+  }
+
+  void shutdown() {
+    if (Draining_) {
+      stopAll();
+      return;
+    }
+    Draining_ = true;
+    DrainEnd_ = now() + Config_.DrainLimit_;
+    Log_->info("shut down, {} requests run", Router_.running());
+    CallerServer_.drain();
+    Router_.drain();
+    Executor_.drain();
+  }
+
+private:
+  std::vector<Part *> children() { return {&Links_, &Reader_, &Documents_, &Executor_, &Router_}; }
+
+  std::optional<Endpoint> addressOf(const HostId &Host) const {
+    const HostSpec *Spec = Documents_.catalogue().findHost(Host);
+    if (Spec == nullptr)
+      return std::nullopt;
+    return Endpoint{Spec->Address_, Spec->Port_};
+  }
+
+  void scheduleTick() {
+    Timer_.expires_after(TickInterval);
+    Timer_.async_wait([this](const boost::system::error_code &Failure) {
+      if (Failure)
+        return;
+      Supervisor_.tick(now());
+      if (Draining_ && (isDrained() || now() >= DrainEnd_)) {
+        stopAll();
+        return;
+      }
+      scheduleTick();
+    });
+  }
+
+  bool isDrained() const {
+    return Router_.running() == 0 && Executor_.running() == 0 &&
+           CallerServer_.runningRequests() == 0;
+  }
+
+  void stopAll() {
+    Timer_.cancel();
+    CallerServer_.stop();
+    EgressServer_.stop();
+    OperatorServer_.stop();
+    Supervisor_.stop();
+    Log_->info("stopped");
+    Io_.stop();
+  }
+
+  void handleOperator(const HttpRequest &Request, const HttpExchangePtr &Exchange) {
+    if (Request.Target_ == "/state")
+      Exchange->respond(textResponse(200, JsonType, dump().dump(2)));
+    else if (Request.Target_ == "/healthz")
+      Exchange->respond(textResponse(Documents_.isReady() && !Draining_ ? 200 : 503, "text/plain",
+                                     Documents_.isReady() ? "ready\n" : "not ready\n"));
+    else
+      Exchange->respond(textResponse(404, "text/plain", "unknown page\n"));
+  }
+
+  nlohmann::json dump() {
+    nlohmann::json Result{{"host", Config_.Host_.str()},
+                          {"data_centre", Config_.DataCentre_.str()},
+                          {"region", Config_.Region_.str()},
+                          {"service", Config_.Service_.str()},
+                          {"incarnation", Run_},
+                          {"draining", Draining_},
+                          {"supervisor", Supervisor_.dump()}};
+    for (const Part *Child : children())
+      Result[std::string(Child->name())] = Child->dump();
+    return Result;
+  }
+
+  boost::asio::io_context &Io_;
+  Settings Config_;
+  Incarnation Run_;
+  Logger Log_;
+  boost::asio::steady_timer Timer_;
+  Supervisor Supervisor_;
+  CallContexts Contexts_;
+  PeerLinks Links_;
+  PlatformReader Reader_;
+  ConfigPart Documents_;
+  Executor Executor_;
+  Router Router_;
+  HttpServer CallerServer_;
+  HttpServer EgressServer_;
+  HttpServer OperatorServer_;
+  bool Draining_ = false;
+  TimePoint DrainEnd_;
+};
+
+Node::Node(boost::asio::io_context &Io, Settings Config)
+    : Impl_(std::make_unique<Impl>(Io, std::move(Config))) {}
+Node::~Node() = default;
+absl::Status Node::start() { return Impl_->start(); }
+void Node::shutdown() { Impl_->shutdown(); }
+
+} // namespace bronzestand::node
--- a/src/node/part.h
+++ b/src/node/part.h
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include "absl/status/status.h"
+#include "bronzestand/types.h"
 
 namespace bronzestand::node {
 
@@ -22,6 +23,8 @@
   virtual absl::Status start() = 0;
   /// Stops at once; a graceful stop has drained before.
   virtual void stop() = 0;
+  /// Called every 100 ms.
+  virtual void tick(TimePoint Now) { (void)Now; }
   /// State for operators. Holds no key.
   virtual nlohmann::json dump() const = 0;
 };
--- /dev/null
+++ b/src/node/peer_links.cpp
@@ -0,0 +1,498 @@
+#include "node/peer_links.h"
+
+#include <array>
+#include <deque>
+#include <map>
+#include <unordered_map>
+
+#include <boost/algorithm/hex.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <openssl/hmac.h>
+#include <openssl/rand.h>
+#include <websocketpp/client.hpp>
+#include <websocketpp/config/asio_no_tls.hpp>
+#include <websocketpp/config/asio_no_tls_client.hpp>
+#include <websocketpp/server.hpp>
+
+#include "node/clock.h"
+#include "node/log.h"
+
+namespace bronzestand::node {
+namespace {
+
+using nlohmann::json;
+using WsServer = websocketpp::server<websocketpp::config::asio>;
+using WsClient = websocketpp::client<websocketpp::config::asio_client>;
+using ConnectionHandle = websocketpp::connection_hdl;
+
+constexpr std::size_t MaxFrameBytes = 8ULL * 1024 * 1024;
+constexpr std::size_t NonceBytes = 16;
+/// Messages that wait for a link to open; more are dropped, as if the network had lost them.
+constexpr std::size_t MaxWaiting = 256;
+constexpr Duration HeartbeatInterval = std::chrono::milliseconds(500);
+constexpr Duration SilenceLimit = std::chrono::seconds(2);
+constexpr Duration HandshakeLimit = std::chrono::seconds(2);
+constexpr Duration IdleLimit = std::chrono::seconds(60);
+
+std::string hex(const unsigned char *Data, std::size_t Size) {
+  std::string Text;
+  boost::algorithm::hex_lower(Data, Data + Size, std::back_inserter(Text));
+  return Text;
+}
+
+std::string makeNonce() {
+  std::array<unsigned char, NonceBytes> Bytes{};
+  RAND_bytes(Bytes.data(), static_cast<int>(Bytes.size()));
+  return hex(Bytes.data(), Bytes.size());
+}
+
+std::string makeMac(const std::string &Secret, const std::string &Text) {
+  std::array<unsigned char, EVP_MAX_MD_SIZE> Digest{};
+  unsigned Size = 0;
+  HMAC(EVP_sha256(), Secret.data(), static_cast<int>(Secret.size()),
+       reinterpret_cast<const unsigned char *>(Text.data()), Text.size(), Digest.data(), &Size);
+  return hex(Digest.data(), Size);
+}
+
+bool equalMacs(const std::string &A, const std::string &B) {
+  return A.size() == B.size() && CRYPTO_memcmp(A.data(), B.data(), A.size()) == 0;
+}
+
+struct WaitingMessage {
+  MessageKind Kind_;
+  json Body_;
+  PeerLinks::SentCallback OnSent_;
+};
+
+struct Link {
+  LinkId Id_ = 0;
+  ConnectionHandle Handle_;
+  bool Outgoing_ = false;
+  bool Open_ = false; ///< both sides have proven the secret
+  Peer Peer_;
+  HostId Target_; ///< host that an outgoing link was opened for; empty if not known
+  std::string OwnNonce_;
+  std::string PeerNonce_;
+  TimePoint Created_;
+  TimePoint LastReceived_;
+  TimePoint LastSent_;
+  TimePoint LastUsed_; ///< last message other than a heartbeat
+};
+
+struct KindCounter {
+  std::uint64_t Messages_ = 0;
+  std::uint64_t Bytes_ = 0;
+};
+
+} // namespace
+
+class PeerLinks::Impl : public std::enable_shared_from_this<Impl> {
+public:
+  Impl(boost::asio::io_context &Io, const Settings &Config, Incarnation Run)
+      : Io_(Io), Config_(Config), Run_(Run), Log_(makeLogger("peer_links")) {
+    prepare(Server_);
+    prepare(Client_);
+    Server_.set_reuse_addr(true);
+  }
+
+  absl::Status start() {
+    bindHandlers(Server_, false);
+    bindHandlers(Client_, true);
+    websocketpp::lib::error_code Failure;
+    const boost::asio::ip::tcp::endpoint Address(
+        boost::asio::ip::make_address(Config_.PeerListen_.Address_), Config_.PeerListen_.Port_);
+    Server_.listen(Address, Failure);
+    if (!Failure)
+      Server_.start_accept(Failure);
+    if (Failure)
+      return makeError({ErrorCode::ListenFailed, Config_.PeerListen_.str(), "", Failure.message()});
+    return absl::OkStatus();
+  }
+
+  void stop() {
+    websocketpp::lib::error_code Ignored;
+    if (Server_.is_listening())
+      Server_.stop_listening(Ignored);
+    std::vector<LinkId> Ids;
+    for (const auto &[Id, Item] : Links_)
+      Ids.push_back(Id);
+    for (const LinkId Id : Ids)
+      closeLink(Id, "node stops");
+  }
+
+  void send(const HostId &To, MessageKind Kind, json Body, SentCallback OnSent) {
+    if (Link *Open = openLinkTo(To)) {
+      if (Kind != MessageKind::Heartbeat)
+        Open->LastUsed_ = now();
+      if (write(*Open, Kind, Body)) {
+        if (OnSent)
+          OnSent(Open->Id_);
+        return;
+      }
+    }
+    auto &Waiting = Waiting_[To];
+    if (Waiting.size() >= MaxWaiting) {
+      if (OnSent)
+        OnSent(0);
+      return;
+    }
+    Waiting.push_back({Kind, std::move(Body), std::move(OnSent)});
+    if (Waiting.size() == 1 && !openFor(To))
+      dropWaiting(To);
+  }
+
+  void connect(const Endpoint &Address) { openAddress(Address, HostId()); }
+
+  bool isLinked(const HostId &Host) { return openLinkTo(Host) != nullptr; }
+
+  void tick(TimePoint Now) {
+    std::vector<std::pair<LinkId, const char *>> Closing;
+    for (auto &[Id, Item] : Links_) {
+      if (!Item.Open_) {
+        if (Now - Item.Created_ > HandshakeLimit)
+          Closing.emplace_back(Id, "handshake timed out");
+      } else if (Now - Item.LastReceived_ > SilenceLimit) {
+        Closing.emplace_back(Id, "link is silent");
+      } else if (Now - Item.LastUsed_ > IdleLimit) {
+        Closing.emplace_back(Id, "link is idle");
+      } else if (Now - Item.LastSent_ >= HeartbeatInterval) {
+        write(Item, MessageKind::Heartbeat, nullptr);
+      }
+    }
+    for (const auto &[Id, Reason] : Closing)
+      closeLink(Id, Reason);
+  }
+
+  json dump() const {
+    json Result{{"incarnation", Run_}, {"epoch", Epoch_}, {"links", json::array()}};
+    for (const auto &[Id, Item] : Links_)
+      Result["links"].push_back(
+          {{"id", Id}, {"host", Item.Peer_.Host_.str()}, {"open", Item.Open_}});
+    for (std::size_t Index = 0; Index < MessageKindCount; ++Index) {
+      const auto Name = std::string(messageKindName(static_cast<MessageKind>(Index)));
+      Result["sent"][Name] = {{"messages", Sent_[Index].Messages_}, {"bytes", Sent_[Index].Bytes_}};
+      Result["received"][Name] = {{"messages", Received_[Index].Messages_},
+                                  {"bytes", Received_[Index].Bytes_}};
+    }
+    return Result;
+  }
+
+  std::array<MessageHandler, MessageKindCount> Handlers_;
+  Resolver Resolver_;
+  std::vector<LinkDownCallback> LinkDown_;
+  std::vector<LinkUpCallback> LinkUp_;
+  Revision ConfigRevision_ = 0;
+  Revision ListRevision_ = 0;
+  std::uint64_t Epoch_ = 1;
+
+private:
+  template <typename Endpoint> void prepare(Endpoint &Side) {
+    Side.clear_access_channels(websocketpp::log::alevel::all);
+    Side.clear_error_channels(websocketpp::log::elevel::all);
+    Side.init_asio(&Io_);
+    Side.set_max_message_size(MaxFrameBytes);
+    Side.set_open_handshake_timeout(2000);
+    Side.set_close_handshake_timeout(500);
+  }
+
+  template <typename Endpoint> void bindHandlers(Endpoint &Side, bool Outgoing) {
+    const auto Self = weak_from_this();
+    Side.set_open_handler([Self, Outgoing](const ConnectionHandle &Handle) {
+      if (const auto Alive = Self.lock())
+        Alive->onOpen(Handle, Outgoing);
+    });
+    const auto OnEnd = [Self](const ConnectionHandle &Handle) {
+      if (const auto Alive = Self.lock())
+        Alive->onEnd(Handle);
+    };
+    Side.set_close_handler(OnEnd);
+    Side.set_fail_handler(OnEnd);
+    Side.set_message_handler([Self](const ConnectionHandle &Handle, const auto &Message) {
+      if (const auto Alive = Self.lock())
+        Alive->onFrame(Handle, Message->get_payload());
+    });
+    Side.set_tcp_post_init_handler([&Side](const ConnectionHandle &Handle) {
+      websocketpp::lib::error_code Failure;
+      const auto Connection = Side.get_con_from_hdl(Handle, Failure);
+      boost::system::error_code Ignored;
+      if (Connection)
+        Connection->get_raw_socket().set_option(boost::asio::ip::tcp::no_delay(true), Ignored);
+    });
+  }
+
+  Link &addLink(const ConnectionHandle &Handle, bool Outgoing, const HostId &Target) {
+    Link &Item = Links_[++LastLink_];
+    Item.Id_ = LastLink_;
+    Item.Handle_ = Handle;
+    Item.Outgoing_ = Outgoing;
+    Item.Target_ = Target;
+    Item.OwnNonce_ = makeNonce();
+    Item.Created_ = Item.LastReceived_ = Item.LastUsed_ = now();
+    LinkByHandle_[Handle] = Item.Id_;
+    return Item;
+  }
+
+  bool openFor(const HostId &To) {
+    for (const auto &[Id, Item] : Links_)
+      if (Item.Target_ == To && !Item.Open_)
+        return true;
+    const auto Address = Resolver_ ? Resolver_(To) : std::nullopt;
+    return Address && openAddress(*Address, To);
+  }
+
+  bool openAddress(const Endpoint &Address, const HostId &Target) {
+    websocketpp::lib::error_code Failure;
+    const auto Connection = Client_.get_connection("ws://" + Address.str() + "/", Failure);
+    if (Failure)
+      return false;
+    // Shows in packet captures and in proxies which host opened the connection.
+    Connection->append_header("Bronzestand-Host", Config_.Host_.str());
+    addLink(Connection->get_handle(), true, Target);
+    Client_.connect(Connection);
+    return true;
+  }
+
+  Link *openLinkTo(const HostId &Host) {
+    const auto Found = LinkByHost_.find(Host.str());
+    if (Found == LinkByHost_.end())
+      return nullptr;
+    const auto Item = Links_.find(Found->second);
+    return Item == Links_.end() ? nullptr : &Item->second;
+  }
+
+  Link *find(const ConnectionHandle &Handle) {
+    const auto Found = LinkByHandle_.find(Handle);
+    if (Found == LinkByHandle_.end())
+      return nullptr;
+    return &Links_.at(Found->second);
+  }
+
+  void onOpen(const ConnectionHandle &Handle, bool Outgoing) {
+    if (Outgoing)
+      return; // the accepting side sends its challenge first
+    Link &Item = addLink(Handle, false, HostId());
+    write(Item, MessageKind::Challenge, {{"nonce", Item.OwnNonce_}});
+  }
+
+  void onEnd(const ConnectionHandle &Handle) {
+    if (const Link *Item = find(Handle))
+      removeLink(Item->Id_);
+  }
+
+  void onFrame(const ConnectionHandle &Handle, const std::string &Frame) {
+    Link *Item = find(Handle);
+    if (Item == nullptr)
+      return;
+    const auto Message = decode(Frame);
+    if (!Message) {
+      closeLink(Item->Id_, "malformed frame");
+      return;
+    }
+    auto &Counter = Received_[static_cast<std::size_t>(Message->Kind_)];
+    ++Counter.Messages_;
+    Counter.Bytes_ += Frame.size();
+    Item->LastReceived_ = now();
+    try {
+      if (Item->Open_)
+        deliver(*Item, *Message);
+      else
+        handshake(*Item, *Message);
+    } catch (const json::exception &Failure) {
+      Log_->warn("malformed {} from {}", messageKindName(Message->Kind_), Message->Sender_.str());
+    }
+  }
+
+  /// Text that a side signs: both nonces, its own name and its role, so that a proof cannot be
+  /// sent back to its maker.
+  std::string proofText(const Link &Item, const HostId &Host, Incarnation Run, bool Opener) const {
+    const std::string &First = Item.Outgoing_ ? Item.OwnNonce_ : Item.PeerNonce_;
+    const std::string &Second = Item.Outgoing_ ? Item.PeerNonce_ : Item.OwnNonce_;
+    return First + Second + Host.str() + "/" + std::to_string(Run) + (Opener ? "/open" : "/accept");
+  }
+
+  void handshake(Link &Item, const Envelope &Message) {
+    const auto OwnMac = [&] {
+      return makeMac(Config_.PeerSecret_, proofText(Item, Config_.Host_, Run_, Item.Outgoing_));
+    };
+    const auto PeerMacValid = [&] {
+      const std::string Expected =
+          makeMac(Config_.PeerSecret_,
+                  proofText(Item, Message.Sender_, Message.Incarnation_, !Item.Outgoing_));
+      return equalMacs(Expected, Message.Body_.at("mac").get<std::string>());
+    };
+    if (Item.Outgoing_ && Message.Kind_ == MessageKind::Challenge) {
+      Item.PeerNonce_ = Message.Body_.at("nonce").get<std::string>();
+      write(Item, MessageKind::Proof, {{"nonce", Item.OwnNonce_}, {"mac", OwnMac()}});
+      return;
+    }
+    if (!Item.Outgoing_ && Message.Kind_ == MessageKind::Proof) {
+      Item.PeerNonce_ = Message.Body_.at("nonce").get<std::string>();
+      if (PeerMacValid()) {
+        write(Item, MessageKind::Accepted, {{"mac", OwnMac()}});
+        opened(Item, Message);
+        return;
+      }
+    }
+    if (Item.Outgoing_ && Message.Kind_ == MessageKind::Accepted && PeerMacValid() &&
+        (Item.Target_.empty() || Item.Target_ == Message.Sender_)) {
+      opened(Item, Message);
+      return;
+    }
+    Log_->warn("handshake with {} failed", Message.Sender_.str());
+    closeLink(Item.Id_, "handshake failed");
+  }
+
+  void opened(Link &Item, const Envelope &Message) {
+    Item.Open_ = true;
+    Item.Peer_ = {Message.Sender_, Message.Incarnation_, Message.Epoch_, Item.Id_};
+    const HostId Host = Message.Sender_;
+    LinkByHost_[Host.str()] = Item.Id_;
+    const Peer Other = Item.Peer_;
+    flushWaiting(Host);
+    for (const LinkUpCallback &Callback : LinkUp_)
+      Callback(Other);
+  }
+
+  void deliver(Link &Item, const Envelope &Message) {
+    // The sender proved its name when the link was opened; a frame cannot claim another one.
+    if (Message.Sender_ != Item.Peer_.Host_ || Message.Incarnation_ != Item.Peer_.Incarnation_)
+      return;
+    // Messages from before a pause of the sender rest on state that it has dropped.
+    if (Message.Epoch_ < Item.Peer_.Epoch_)
+      return;
+    Item.Peer_.Epoch_ = Message.Epoch_;
+    if (Message.Kind_ == MessageKind::Heartbeat)
+      return;
+    Item.LastUsed_ = now();
+    const MessageHandler &Handler = Handlers_[static_cast<std::size_t>(Message.Kind_)];
+    const Peer From = Item.Peer_;
+    if (Handler)
+      Handler(From, Message.Body_);
+  }
+
+  bool write(Link &Item, MessageKind Kind, const json &Body) {
+    const std::string Frame =
+        encode({Kind, Config_.Host_, Run_, Epoch_, ConfigRevision_, ListRevision_, Body});
+    websocketpp::lib::error_code Failure;
+    if (Item.Outgoing_)
+      Client_.send(Item.Handle_, Frame, websocketpp::frame::opcode::binary, Failure);
+    else
+      Server_.send(Item.Handle_, Frame, websocketpp::frame::opcode::binary, Failure);
+    if (Failure)
+      return false;
+    auto &Counter = Sent_[static_cast<std::size_t>(Kind)];
+    ++Counter.Messages_;
+    Counter.Bytes_ += Frame.size();
+    Item.LastSent_ = now();
+    return true;
+  }
+
+  void flushWaiting(const HostId &Host) {
+    const auto Found = Waiting_.find(Host);
+    if (Found == Waiting_.end())
+      return;
+    auto Messages = std::move(Found->second);
+    Waiting_.erase(Found);
+    for (WaitingMessage &Message : Messages)
+      send(Host, Message.Kind_, std::move(Message.Body_), std::move(Message.OnSent_));
+  }
+
+  void dropWaiting(const HostId &Host) {
+    const auto Found = Waiting_.find(Host);
+    if (Found == Waiting_.end())
+      return;
+    auto Messages = std::move(Found->second);
+    Waiting_.erase(Found);
+    for (const WaitingMessage &Message : Messages)
+      if (Message.OnSent_)
+        boost::asio::post(Io_, [OnSent = Message.OnSent_] { OnSent(0); });
+  }
+
+  void closeLink(LinkId Id, const char *Reason) {
+    const auto Found = Links_.find(Id);
+    if (Found == Links_.end())
+      return;
+    Log_->debug("close link to {}: {}", Found->second.Peer_.Host_.str(), Reason);
+    const ConnectionHandle Handle = Found->second.Handle_;
+    const bool Outgoing = Found->second.Outgoing_;
+    removeLink(Id);
+    // The TCP connection ends at once, because a silent one would not answer a close handshake.
+    boost::system::error_code Ignored;
+    websocketpp::lib::error_code Failure;
+    if (Outgoing) {
+      if (const auto Connection = Client_.get_con_from_hdl(Handle, Failure))
+        Connection->get_raw_socket().close(Ignored);
+    } else if (const auto Connection = Server_.get_con_from_hdl(Handle, Failure)) {
+      Connection->get_raw_socket().close(Ignored);
+    }
+  }
+
+  void removeLink(LinkId Id) {
+    const auto Found = Links_.find(Id);
+    if (Found == Links_.end())
+      return;
+    const Link Item = std::move(Found->second);
+    Links_.erase(Found);
+    LinkByHandle_.erase(Item.Handle_);
+    const auto ByHost = LinkByHost_.find(Item.Peer_.Host_.str());
+    if (ByHost != LinkByHost_.end() && ByHost->second == Id)
+      useOtherLink(Item.Peer_.Host_);
+    if (!Item.Open_ && !Item.Target_.empty())
+      dropWaiting(Item.Target_);
+    if (Item.Open_)
+      for (const LinkDownCallback &Callback : LinkDown_)
+        Callback(Item.Peer_.Host_, Id);
+  }
+
+  void useOtherLink(const HostId &Host) {
+    LinkByHost_.erase(Host.str());
+    for (const auto &[Id, Item] : Links_)
+      if (Item.Open_ && Item.Peer_.Host_ == Host)
+        LinkByHost_[Host.str()] = Id;
+  }
+
+  boost::asio::io_context &Io_;
+  const Settings &Config_;
+  Incarnation Run_;
+  Logger Log_;
+  WsServer Server_;
+  WsClient Client_;
+  LinkId LastLink_ = 0;
+  std::map<LinkId, Link> Links_;
+  std::map<ConnectionHandle, LinkId, std::owner_less<ConnectionHandle>> LinkByHandle_;
+  std::unordered_map<std::string, LinkId> LinkByHost_;
+  std::unordered_map<HostId, std::deque<WaitingMessage>> Waiting_;
+  std::array<KindCounter, MessageKindCount> Sent_{};
+  std::array<KindCounter, MessageKindCount> Received_{};
+};
+
+PeerLinks::PeerLinks(boost::asio::io_context &Io, const Settings &Config, Incarnation Run)
+    : Impl_(std::make_shared<Impl>(Io, Config, Run)) {}
+PeerLinks::~PeerLinks() = default;
+
+void PeerLinks::setHandler(MessageKind Kind, MessageHandler Handler) {
+  Impl_->Handlers_[static_cast<std::size_t>(Kind)] = std::move(Handler);
+}
+void PeerLinks::setResolver(Resolver Find) { Impl_->Resolver_ = std::move(Find); }
+void PeerLinks::addLinkDown(LinkDownCallback Callback) {
+  Impl_->LinkDown_.push_back(std::move(Callback));
+}
+void PeerLinks::addLinkUp(LinkUpCallback Callback) {
+  Impl_->LinkUp_.push_back(std::move(Callback));
+}
+void PeerLinks::setRevisions(Revision Config, Revision List) {
+  Impl_->ConfigRevision_ = Config;
+  Impl_->ListRevision_ = List;
+}
+void PeerLinks::advanceEpoch() { ++Impl_->Epoch_; }
+void PeerLinks::send(const HostId &To, MessageKind Kind, json Body, SentCallback OnSent) {
+  Impl_->send(To, Kind, std::move(Body), std::move(OnSent));
+}
+void PeerLinks::connect(const Endpoint &Address) { Impl_->connect(Address); }
+bool PeerLinks::isLinked(const HostId &Host) const { return Impl_->isLinked(Host); }
+absl::Status PeerLinks::start() { return Impl_->start(); }
+void PeerLinks::stop() { Impl_->stop(); }
+void PeerLinks::tick(TimePoint Now) { Impl_->tick(Now); }
+json PeerLinks::dump() const { return Impl_->dump(); }
+
+} // namespace bronzestand::node
--- /dev/null
+++ b/src/node/routed_call.cpp
@@ -0,0 +1,147 @@
+#include "node/routed_call.h"
+
+#include "node/clock.h"
+#include "node/codec_call.h"
+
+namespace bronzestand::node {
+namespace {
+
+constexpr std::uint32_t MaxTries = 3;
+
+HttpResponse toResponse(const Answer &Result, const RequestId &Request) {
+  if (Result.Outcome_ != Outcome::Served)
+    return refusalResponse(Result.Refusal_, Request);
+  HttpResponse Response;
+  Response.Status_ = Result.HttpStatus_;
+  Response.Headers_ = Result.Headers_;
+  Response.Headers_.push_back({"Bronzestand-Outcome", "served"});
+  Response.Headers_.push_back({"Bronzestand-Request-Id", Request.str()});
+  Response.Body_ = Result.Body_;
+  return Response;
+}
+
+} // namespace
+
+RoutedCall::RoutedCall(Router &Owner, Call Request, HttpExchangePtr Exchange,
+                       std::shared_ptr<CallContext> Parent)
+    : Owner_(Owner), Call_(std::move(Request)), Exchange_(std::move(Exchange)),
+      Parent_(std::move(Parent)), Timer_(Owner.Env_.Io_), Deadline_(now() + Call_.TimeLeft_) {}
+
+Duration RoutedCall::timeLeft() const { return Deadline_ - now(); }
+
+void RoutedCall::start() {
+  Exchange_->onCancelled([Self = Ptr(this)] { Self->cancel(); });
+  Timer_.expires_after(Call_.TimeLeft_);
+  Timer_.async_wait([Self = Ptr(this)](const boost::system::error_code &Failure) {
+    if (!Failure)
+      Self->onDeadline();
+  });
+  send();
+}
+
+void RoutedCall::send() {
+  Host_ = Owner_.chooseHost(Call_, Tried_);
+  if (Host_.empty()) {
+    finish(Answer::refused(Call_.Id_, Refusal::NoBackendServer));
+    return;
+  }
+  ++Try_;
+  Link_ = 0;
+  Tried_.insert(Host_);
+  Call_.TimeLeft_ = timeLeft();
+  if (Host_ != Owner_.Env_.Config_.Host_) {
+    sendRemote();
+    return;
+  }
+  Owner_.Env_.Executor_.submit(
+      Host_, Call_, [Self = Ptr(this)](const Answer &Result) { Self->onAnswer(Result); });
+}
+
+void RoutedCall::sendRemote() {
+  Owner_.Env_.Links_.send(Host_, MessageKind::Call, Call_,
+                          [Self = Ptr(this), Try = Try_](LinkId Link) { Self->onSent(Try, Link); });
+}
+
+void RoutedCall::onSent(std::uint32_t Try, LinkId Link) {
+  if (Done_ || Try != Try_)
+    return;
+  Link_ = Link;
+  if (Link == 0)
+    retryOrFinish(Answer::refused(Call_.Id_, Refusal::NoBackendServer));
+}
+
+void RoutedCall::onAnswer(const Answer &Result) {
+  if (Done_ || Result.Id_ != Call_.Id_)
+    return;
+  if (Result.Outcome_ == Outcome::Served)
+    finish(Result);
+  else
+    retryOrFinish(Result);
+}
+
+void RoutedCall::onLinkDown(const HostId &Host, LinkId Link) {
+  if (!Done_ && Host == Host_ && Link == Link_)
+    retryOrFinish(Answer::refused(Call_.Id_, Refusal::ConnectionLost));
+}
+
+bool RoutedCall::mayRetry(const Answer &Result) const {
+  if (Try_ >= MaxTries || timeLeft() <= Duration::zero())
+    return false;
+  if (Result.Outcome_ == Outcome::NotRun)
+    return refusalInfo(Result.Refusal_).MayRetry_;
+  return Call_.Idempotent_ && !Call_.AtMostOnce_;
+}
+
+void RoutedCall::retryOrFinish(const Answer &Result) {
+  if (!mayRetry(Result)) {
+    finish(Result);
+    return;
+  }
+  // Each try has an id of its own, so that a late answer to an earlier one is not taken for this.
+  const Ptr Keep(this);
+  Owner_.Running_.erase(Call_.Id_);
+  Call_.Id_ = ++Owner_.LastCall_;
+  Call_.Attempts_ = std::min(Call_.Attempts_ - 1, Result.UnusedAttempts_);
+  if (Call_.Attempts_ == 0) {
+    finish(Answer::refused(Call_.Id_, Refusal::AttemptsExhausted));
+    return;
+  }
+  Owner_.Running_.emplace(Call_.Id_, Keep);
+  send();
+}
+
+void RoutedCall::onDeadline() {
+  if (Done_)
+    return;
+  const bool NeverSent = Host_ != Owner_.Env_.Config_.Host_ && Link_ == 0 && Try_ <= 1;
+  const Refusal Reason = NeverSent ? Refusal::DeadlineTooShort : Refusal::TimedOut;
+  cancel();
+  finish(Answer::refused(Call_.Id_, Reason));
+}
+
+void RoutedCall::cancel() {
+  if (Done_)
+    return;
+  if (Host_ == Owner_.Env_.Config_.Host_)
+    Owner_.Env_.Executor_.cancel(Host_, Call_.Id_);
+  else if (Link_ != 0)
+    Owner_.Env_.Links_.send(Host_, MessageKind::Cancel, Call_.Id_);
+}
+
+void RoutedCall::finish(const Answer &Result) {
+  if (Done_)
+    return;
+  const Ptr Keep(this);
+  Done_ = true;
+  Timer_.cancel();
+  if (Parent_)
+    Parent_->AttemptsLeft_ += std::min(Result.UnusedAttempts_, Call_.Attempts_);
+  ++Owner_.Outcomes_[Result.Outcome_ == Outcome::Served
+                         ? "served"
+                         : std::string(refusalInfo(Result.Refusal_).Name_)];
+  Owner_.finished(Call_.Id_);
+  Exchange_->respond(toResponse(Result, Call_.Request_));
+  Exchange_ = nullptr;
+}
+
+} // namespace bronzestand::node
--- /dev/null
+++ b/src/node/router.h
@@ -0,0 +1,73 @@
+#ifndef BRONZESTAND_NODE_ROUTER_H
+#define BRONZESTAND_NODE_ROUTER_H
+
+#include <map>
+#include <memory>
+#include <set>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "node/call_contexts.h"
+#include "node/caller_key.h"
+#include "node/config_part.h"
+#include "node/executor.h"
+#include "node/http_server.h"
+#include "node/part.h"
+#include "node/peer_links.h"
+
+namespace bronzestand::node {
+
+class RoutedCall;
+
+/// Takes requests of callers and of the local backend server and has them run on a backend server
+/// of the right service (design section 2).
+class Router final : public Part {
+public:
+  struct Parts {
+    boost::asio::io_context &Io_;
+    const Settings &Config_;
+    const ConfigPart &Documents_;
+    CallContexts &Contexts_;
+    PeerLinks &Links_;
+    Executor &Executor_;
+  };
+
+  Router(const Parts &Environment, Incarnation Run);
+  ~Router() override;
+
+  /// A request on the caller listener.
+  void handleCaller(HttpRequest Request, const HttpExchangePtr &Exchange);
+  /// A request of the local backend server on the egress listener.
+  void handleEgress(HttpRequest Request, const HttpExchangePtr &Exchange);
+  /// Refuses new requests of callers from now on; calls of running requests go on.
+  void drain() { Draining_ = true; }
+  std::size_t running() const { return Running_.size(); }
+
+  std::string_view name() const override { return "router"; }
+  absl::Status start() override;
+  void stop() override;
+  nlohmann::json dump() const override;
+
+private:
+  friend class RoutedCall;
+  using RoutedCallPtr = boost::intrusive_ptr<RoutedCall>;
+
+  void route(HttpRequest Request, const HttpExchangePtr &Exchange, Call Partial,
+             const RouteSpec &Route, const std::shared_ptr<CallContext> &Parent);
+  void finished(CallId Id);
+  HostId chooseHost(const Call &Request, const std::set<HostId> &Excluded) const;
+  void onAnswer(const HostId &From, const Answer &Result);
+  void onLinkDown(const HostId &Host, LinkId Link);
+
+  Parts Env_;
+  Incarnation Run_;
+  Logger Log_;
+  CallId LastCall_ = 0;
+  std::map<CallId, RoutedCallPtr> Running_;
+  std::map<std::string, std::uint64_t> Outcomes_; ///< count by refusal name or "served"
+  bool Draining_ = false;
+};
+
+} // namespace bronzestand::node
+
+#endif
--- /dev/null
+++ b/src/node/settings.cpp
@@ -0,0 +1,116 @@
+#include "node/settings.h"
+
+#include <array>
+#include <fstream>
+#include <sstream>
+
+#include <boost/asio/ip/address.hpp>
+
+#include "engine/yaml_reader.h"
+
+namespace bronzestand::node {
+namespace {
+
+using detail::YamlReader;
+
+constexpr std::size_t MinSecretLength = 16;
+
+struct EndpointField {
+  const char *Name_;
+  Endpoint Settings::*Member_;
+};
+
+constexpr std::array<EndpointField, 5> EndpointFields{{
+    {"caller_listen", &Settings::CallerListen_},
+    {"egress_listen", &Settings::EgressListen_},
+    {"peer_listen", &Settings::PeerListen_},
+    {"operator_listen", &Settings::OperatorListen_},
+    {"backend_server", &Settings::BackendServer_},
+}};
+
+Endpoint readEndpoint(YamlReader &Reader, const char *Field, const std::string &Text) {
+  auto Result = parseEndpoint(Text);
+  if (Result.ok())
+    return *std::move(Result);
+  Reader.fail(ErrorCode::InvalidValue, Field, "must be an IP address and a port, as 10.0.0.1:7000");
+  return {};
+}
+
+std::vector<Endpoint> readEndpoints(YamlReader &Reader, const char *Field, bool Required) {
+  std::vector<Endpoint> Result;
+  for (const std::string &Text : Reader.texts(Field, Required))
+    Result.push_back(readEndpoint(Reader, Field, Text));
+  return Result;
+}
+
+LogSettings readLog(YamlReader Reader) {
+  LogSettings Log;
+  const std::string Format = Reader.text("format", false, "text");
+  if (Format != "text" && Format != "json")
+    Reader.fail(ErrorCode::InvalidValue, "format", "must be text or json");
+  Log.Json_ = Format == "json";
+  Log.Level_ = Reader.text("level", false, "info");
+  YamlReader Parts = Reader.map("parts", false);
+  for (const std::string &Name : Parts.fieldNames())
+    Log.PartLevels_[Name] = Parts.text(Name.c_str());
+  Reader.finish();
+  return Log;
+}
+
+} // namespace
+
+absl::StatusOr<Endpoint> parseEndpoint(const std::string &Text) {
+  const std::size_t Colon = Text.rfind(':');
+  boost::system::error_code Failure;
+  Endpoint Result;
+  if (Colon != std::string::npos) {
+    Result.Address_ = Text.substr(0, Colon);
+    boost::asio::ip::make_address(Result.Address_, Failure);
+    const std::string Port = Text.substr(Colon + 1);
+    if (Port.size() <= 5 && Port.find_first_not_of("0123456789") == std::string::npos &&
+        !Port.empty()) {
+      const int Value = std::stoi(Port);
+      if (!Failure && Value >= 1 && Value <= 65'535) {
+        Result.Port_ = static_cast<std::uint16_t>(Value);
+        return Result;
+      }
+    }
+  }
+  return makeError({ErrorCode::InvalidValue, Text, "", "is not an IP address and a port"});
+}
+
+ParsedSettings parseSettings(const std::string &Source, const std::string &Text) {
+  ParsedSettings Result;
+  Settings &Out = Result.Settings_;
+  YamlReader Reader(YamlReader::parse(Text, Source, Result.Errors_), Source, "", Result.Errors_);
+  Out.Host_ = HostId(Reader.text("host_id"));
+  Out.DataCentre_ = DataCentreId(Reader.text("data_centre"));
+  Out.Region_ = RegionId(Reader.text("region"));
+  Out.Service_ = ServiceId(Reader.text("service"));
+  for (const EndpointField &Field : EndpointFields)
+    Out.*Field.Member_ = readEndpoint(Reader, Field.Name_, Reader.text(Field.Name_));
+  Out.Platform_ = readEndpoints(Reader, "platform", true);
+  Out.Peers_ = readEndpoints(Reader, "peers", false);
+  Out.PeerSecret_ = Reader.text("peer_secret");
+  if (Out.PeerSecret_.size() < MinSecretLength)
+    Reader.fail(ErrorCode::OutOfRange, "peer_secret", "must have at least 16 characters");
+  Out.DrainLimit_ =
+      std::chrono::milliseconds(Reader.integer("drain_limit_ms", 0, 3'600'000, false, 30'000));
+  Out.Log_ = readLog(Reader.map("log", false));
+  Reader.finish();
+  return Result;
+}
+
+ParsedSettings loadSettings(const std::string &File) {
+  std::ifstream In(File);
+  if (!In) {
+    ParsedSettings Result;
+    Result.Errors_.push_back({ErrorCode::Unreadable, File, "", "can't be read"});
+    return Result;
+  }
+  std::ostringstream Text;
+  Text << In.rdbuf();
+  return parseSettings(File, Text.str());
+}
+
+} // namespace bronzestand::node
--- /dev/null
+++ b/src/node/settings.h
@@ -0,0 +1,58 @@
+#ifndef BRONZESTAND_NODE_SETTINGS_H
+#define BRONZESTAND_NODE_SETTINGS_H
+
+#include <string>
+#include <vector>
+
+#include "absl/status/statusor.h"
+#include "bronzestand/error.h"
+#include "bronzestand/types.h"
+#include "node/log.h"
+
+namespace bronzestand::node {
+
+/// IP address and port.
+struct Endpoint {
+  std::string Address_;
+  std::uint16_t Port_ = 0;
+
+  std::string str() const { return Address_ + ":" + std::to_string(Port_); }
+};
+
+/// Settings of one node. All of them need a restart; live configuration comes from the platform.
+struct Settings {
+  HostId Host_;
+  DataCentreId DataCentre_;
+  RegionId Region_;
+  ServiceId Service_;
+  Endpoint CallerListen_;
+  Endpoint EgressListen_;
+  Endpoint PeerListen_;
+  Endpoint OperatorListen_;
+  Endpoint BackendServer_;
+  std::vector<Endpoint> Platform_;
+  std::vector<Endpoint> Peers_;
+  std::string PeerSecret_;
+  Duration DrainLimit_ = std::chrono::seconds(30);
+  LogSettings Log_;
+};
+
+struct ParsedSettings {
+  Settings Settings_;
+  std::vector<ErrorDetail> Errors_;
+};
+
+/// Parses "address:port" with an IP address and a port of 1 to 65535.
+absl::StatusOr<Endpoint> parseEndpoint(const std::string &Text);
+
+/// Parses settings and reports all errors at once.
+/// \param Source name used in errors, for example the file.
+/// \param Text YAML text.
+ParsedSettings parseSettings(const std::string &Source, const std::string &Text);
+
+/// Reads and parses a file.
+ParsedSettings loadSettings(const std::string &File);
+
+} // namespace bronzestand::node
+
+#endif
