Add the balancer

Cause: an entry node needs to choose a backend server without trust in health or load endpoints. Change: power of two choices on calls in flight, peak-sensitive latency, failure and refusal rates and admission levels; nearer localities first; slow start of 10 s; bound on calls in flight; at most 8 draws per locality and pass. Result: balancer_test passes (7 cases). In its runs of 12,000 calls over 6 hosts, a slow host gets 3 to 200 calls and a failing one 3 to 120.

--- /dev/null
+++ b/include/bronzestand/balancer.h
@@ -0,0 +1,106 @@
+#ifndef BRONZESTAND_BALANCER_H
+#define BRONZESTAND_BALANCER_H
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <unordered_map>
+#include <vector>
+
+#include "bronzestand/call.h"
+#include "bronzestand/refusal.h"
+#include "bronzestand/types.h"
+
+namespace bronzestand {
+
+/// Distance of a backend server from this node; nearer ones are used first.
+enum class Locality : std::uint8_t { SameDataCentre, SameRegion, OtherRegion };
+
+/// A backend server that may be chosen for calls of a service.
+struct BalancerCandidate {
+  HostId Host_;
+  Locality Locality_ = Locality::SameDataCentre;
+  Incarnation Incarnation_ = 0;
+  bool Available_ = true; ///< false while leaving, silent, paused or gone
+};
+
+/// What this node observed of one call.
+struct CallReport {
+  Duration Latency_{};
+  Outcome Outcome_ = Outcome::Served;
+  std::optional<Refusal> Refusal_;         ///< set unless Outcome_ is Served
+  unsigned HttpStatus_ = 200;              ///< valid if Outcome_ is Served
+  std::optional<std::uint16_t> Threshold_; ///< admission level carried by the answer
+};
+
+/// Chooses a backend server for each call from this node's own measurements (design section 9).
+/// Health and load endpoints are not an input, so they cannot override what is observed.
+/// Memory: one record per candidate.
+class Balancer {
+public:
+  /// \param Seed seeds the random source.
+  /// \param MaxInFlight bound on calls in flight from this node to one host, at least 1.
+  explicit Balancer(std::uint64_t Seed, std::uint32_t MaxInFlight = 64)
+      : Random_(Seed), MaxInFlight_(MaxInFlight) {}
+
+  /// Replaces the candidates of a service and keeps the measurements of those that stay. A host
+  /// that is new after the first list, has a new incarnation or becomes available again is used
+  /// with slow start. A host belongs to one service. Cost: linear in the candidates.
+  void setHosts(TimePoint Now, const ServiceId &Service,
+                const std::vector<BalancerCandidate> &Candidates);
+
+  /// Chooses a host: the better of two random ones in the nearest locality that can serve.
+  /// \param Excluded hosts that this request has already tried.
+  /// \param Level standing of the request, compared with the hosts' admission levels.
+  /// \return the host, valid until the next setHosts(); null if none may be used.
+  /// Cost: at most ScanLimit random draws per locality, twice; independent of the fleet's size.
+  const HostId *pick(TimePoint Now, const ServiceId &Service, const std::vector<HostId> &Excluded,
+                     Standing Level);
+
+  /// Counts a call that was sent to a host. Unknown hosts are ignored, here and in finished().
+  void started(TimePoint Now, const HostId &Host);
+  void finished(TimePoint Now, const HostId &Host, const CallReport &Report);
+
+  /// Calls in flight from this node to a host; 0 for an unknown host.
+  std::uint32_t inFlight(const HostId &Host) const;
+
+private:
+  static constexpr std::size_t ScanLimit = 8;
+  static constexpr std::size_t LocalityCount = 3;
+
+  struct HostRecord {
+    HostId Id_;
+    ServiceId Service_;
+    Incarnation Incarnation_ = 0;
+    bool Available_ = false;
+    std::uint32_t InFlight_ = 0;
+    double LatencyUs_ = 0.0; ///< 0 until the first measurement
+    double FailureRate_ = 0.0;
+    double RefusalRate_ = 0.0;
+    std::uint16_t Threshold_ = 0;
+    TimePoint ThresholdUntil_{};
+    TimePoint Updated_{};
+    TimePoint SlowStartUntil_{};
+  };
+  struct ServiceRecord {
+    std::array<std::vector<HostRecord *>, LocalityCount> Hosts_;
+    double LatencyUs_ = 0.0; ///< average over all hosts, for hosts without a measurement
+  };
+
+  HostRecord *pickFrom(TimePoint Now, ServiceRecord &Service, std::vector<HostRecord *> &Hosts,
+                       const std::vector<HostId> &Excluded, Standing Level, bool AllowFailing);
+  bool mayUse(TimePoint Now, const HostRecord &Host, Standing Level, bool AllowFailing) const;
+  HostRecord *better(const ServiceRecord &Service, HostRecord *A, HostRecord *B);
+  void age(TimePoint Now, HostRecord &Host, double AverageUs) const;
+  double draw() { return std::uniform_real_distribution<double>()(Random_); }
+
+  std::mt19937_64 Random_;
+  std::uint32_t MaxInFlight_;
+  std::unordered_map<HostId, HostRecord> Hosts_;
+  std::unordered_map<ServiceId, ServiceRecord> Services_;
+};
+
+} // namespace bronzestand
+
+#endif
--- /dev/null
+++ b/tests/unit/balancer_test.cpp
@@ -0,0 +1,148 @@
+#include "bronzestand/balancer.h"
+
+#include <map>
+
+#include <catch2/catch.hpp>
+
+using namespace bronzestand;
+using namespace std::chrono_literals;
+
+namespace {
+
+const ServiceId Stock("stock");
+const Standing Ordinary{100, 0};
+
+CallReport served(Duration Latency, unsigned HttpStatus = 200) {
+  return {Latency, Outcome::Served, std::nullopt, HttpStatus, std::nullopt};
+}
+
+CallReport refused(Duration Latency, Refusal Reason) {
+  return {Latency, refusalInfo(Reason).Outcome_, Reason, 0, std::nullopt};
+}
+
+struct BalancerFixture {
+  explicit BalancerFixture(std::size_t Count = 6) {
+    for (std::size_t Index = 0; Index < Count; ++Index)
+      List_.push_back({HostId("h" + std::to_string(Index)), Locality::SameDataCentre, 1, true});
+    publish();
+  }
+  void publish() { Balancer_.setHosts(Now_, Stock, List_); }
+  const HostId *pick(const std::vector<HostId> &Excluded = {}, Standing Level = Ordinary) {
+    return Balancer_.pick(Now_, Stock, Excluded, Level);
+  }
+  /// Sends calls one after the other, 5 ms apart; Reports_ gives what a host answers.
+  void run(int Calls) {
+    Picked_.clear();
+    for (int Call = 0; Call < Calls; ++Call) {
+      Now_ += 5ms;
+      const HostId *Host = pick();
+      REQUIRE(Host != nullptr);
+      ++Picked_[Host->str()];
+      const HostId Chosen = *Host;
+      Balancer_.started(Now_, Chosen);
+      const auto Found = Reports_.find(Chosen.str());
+      Balancer_.finished(Now_, Chosen, Found == Reports_.end() ? served(10ms) : Found->second);
+    }
+  }
+  TimePoint Now_{1s};
+  Balancer Balancer_{7, 4};
+  std::vector<BalancerCandidate> List_;
+  std::map<std::string, CallReport> Reports_;
+  std::map<std::string, int> Picked_;
+};
+
+} // namespace
+
+// Guards against a host that attracts traffic because its errors are fast.
+TEST_CASE_METHOD(BalancerFixture, "pick_host_with_fast_errors_is_avoided_but_probed") {
+  Reports_["h0"] = served(100us, 500);
+  Reports_["h1"] = refused(100us, Refusal::ConnectionLost);
+  run(12'000); // one minute
+  for (const char *Host : {"h0", "h1"}) {
+    CHECK(Picked_[Host] >= 3);
+    CHECK(Picked_[Host] < 120);
+  }
+  Reports_.clear();
+  run(6'000);
+  run(6'000);
+  CHECK(Picked_["h0"] > 500); // recovered hosts get a fair share (1,000) or close to it
+}
+
+// Guards against a host that attracts traffic because it refuses fast.
+TEST_CASE_METHOD(BalancerFixture, "pick_host_that_refuses_gets_less") {
+  Reports_["h0"] = refused(100us, Refusal::Overloaded);
+  run(6'000);
+  CHECK(Picked_["h0"] < 300);
+}
+
+// Guards against a slow host that is never tried again.
+TEST_CASE_METHOD(BalancerFixture, "pick_slow_host_is_avoided_but_probed") {
+  Reports_["h0"] = served(100ms);
+  run(12'000);
+  CHECK(Picked_["h0"] >= 3);
+  CHECK(Picked_["h0"] < 200);
+}
+
+// Guards against work that is sent to a host which announced that it refuses this standing.
+TEST_CASE_METHOD(BalancerFixture, "pick_below_admission_level_is_kept_away_until_expiry") {
+  for (const BalancerCandidate &Candidate : List_)
+    Balancer_.finished(Now_, Candidate.Host_,
+                       {10ms, Outcome::Served, {}, 200, Standing{200, 0}.value()});
+  CHECK(pick() == nullptr);
+  CHECK(pick({}, Standing{200, 0}) != nullptr);
+  Now_ += 2s;
+  CHECK(pick() != nullptr);
+}
+
+// Guards against a full load on a cold host, for all three ways of becoming cold.
+TEST_CASE_METHOD(BalancerFixture, "pick_cold_host_ramps_up_within_ten_seconds") {
+  run(100);
+  SECTION("new host") { List_.push_back({HostId("cold"), Locality::SameDataCentre, 1, true}); }
+  SECTION("new incarnation") { List_[0] = {HostId("h0"), Locality::SameDataCentre, 2, true}; }
+  SECTION("back from silent") {
+    List_[0].Available_ = false;
+    publish();
+    List_[0].Available_ = true;
+  }
+  const std::string Cold = List_.size() > 6 ? "cold" : "h0";
+  publish();
+  run(200); // first second
+  CHECK(Picked_[Cold] < 15);
+  run(1'800);
+  run(1'200);
+  CHECK(Picked_[Cold] > 120);
+}
+
+// Guards against traffic that leaves the data centre without need, or cannot leave it.
+TEST_CASE_METHOD(BalancerFixture, "pick_nearer_host_first_until_it_cannot_serve") {
+  for (std::size_t Index = 0; Index < List_.size(); ++Index)
+    List_[Index].Locality_ = static_cast<Locality>(Index / 2);
+  publish();
+  run(1'000);
+  CHECK(Picked_["h0"] + Picked_["h1"] == 1'000);
+  CHECK(pick({HostId("h0"), HostId("h1")})->str() < "h4");
+  Reports_["h0"] = Reports_["h1"] = refused(1ms, Refusal::TimedOut);
+  run(1'000);
+  CHECK(Picked_["h2"] + Picked_["h3"] > 950);
+  CHECK(Picked_["h4"] + Picked_["h5"] == 0);
+}
+
+// Guards against a retry on the same host, unbounded connections and a crash on unknown hosts.
+TEST_CASE_METHOD(BalancerFixture, "pick_respects_exclusion_and_connection_bound") {
+  std::vector<HostId> Excluded;
+  for (const BalancerCandidate &Candidate : List_)
+    Excluded.push_back(Candidate.Host_);
+  CHECK(pick(Excluded) == nullptr);
+  for (int Call = 0; Call < 24; ++Call) {
+    const HostId *Host = pick();
+    REQUIRE(Host != nullptr);
+    Balancer_.started(Now_, *Host);
+  }
+  CHECK(pick() == nullptr);
+  Balancer_.finished(Now_, HostId("h3"), CallReport{});
+  CHECK(Balancer_.inFlight(HostId("h3")) == 3);
+  REQUIRE(pick() != nullptr);
+  CHECK(*pick() == HostId("h3"));
+  Balancer_.finished(Now_, HostId("absent"), CallReport{});
+  CHECK(Balancer_.pick(Now_, ServiceId("absent"), {}, Ordinary) == nullptr);
+}
