Ask for confirmation where several poison requests are at large

Change: suspects carry the crashes at which they ran. A suspect is quarantined at its second backend server only if it ran at every crash in the table; otherwise it needs two such crashes as the only suspect. A quarantined fingerprint explains its crashes, which clears those that ran beside it. The test of a new node adds a suspect of its own, because explained suspects are no longer in the table.

--- a/bench/quarantine_bench.cpp
+++ b/bench/quarantine_bench.cpp
@@ -2,6 +2,7 @@
 // callers resend them, with and without the quarantine, and innocent requests quarantined.
 
 #include <algorithm>
+#include <cstdio>
 #include <functional>
 #include <map>
 #include <memory>
@@ -118,7 +119,8 @@
     const CallId Call = ++LastCall_;
     Node &Target = Nodes_[Index];
     Target.Running_[Call] = Print;
-    Target.Logic_->started(Now_, Call, Print, teamOf(Print));
+    if (Enabled_)
+      Target.Logic_->started(Now_, Call, Print, teamOf(Print));
     const auto Ms = std::exponential_distribution<double>(1.0 / ServiceMs)(Random_);
     const bool Poison = Print < PoisonCount_;
     at(Poison ? CrashDelay : Duration(static_cast<std::int64_t>(Ms * 1'000)),
@@ -131,7 +133,8 @@
            return;
          }
          Server.Running_.erase(Call);
-         deliver(Index, Server.Logic_->finished(Now_, Call, true));
+         if (Enabled_)
+           deliver(Index, Server.Logic_->finished(Now_, Call, true));
        });
   }
 
@@ -146,7 +149,8 @@
       at(ResendDelay, [this, Resent, TimeLeft] { request(Resent, TimeLeft); });
     }
     Server.Running_.clear();
-    deliver(Index, Server.Logic_->crashed(Now_));
+    if (Enabled_)
+      deliver(Index, Server.Logic_->crashed(Now_));
   }
 
   void deliver(std::size_t From, const std::vector<QuarantineSend> &Sends) {
@@ -197,6 +201,7 @@
              Enabled ? "on" : "off", Seeds, static_cast<double>(Sum) / static_cast<double>(Seeds),
              Crashes[Crashes.size() / 2], Crashes.back(),
              std::chrono::duration<double>(Longest).count(), Innocents, Missed);
+  std::fflush(stdout);
 }
 
 } // namespace
--- a/include/bronzestand/quarantine.h
+++ b/include/bronzestand/quarantine.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <set>
 #include <string_view>
+#include <tuple>
 #include <unordered_map>
 #include <utility>
 #include <variant>
@@ -21,11 +22,22 @@
 /// Cost: linear in the body.
 Fingerprint fingerprintOf(std::string_view Route, const TeamId &Team, std::string_view Body);
 
+/// A crash of a backend server, as part of the record of a fingerprint that ran at it.
+struct CrashRecord {
+  HostId Host_;
+  std::uint64_t Number_ = 0; ///< tells the crashes of one host apart
+  bool OnlySuspect_ = false; ///< the fingerprint was the only suspect that ran
+
+  friend bool operator<(const CrashRecord &A, const CrashRecord &B) {
+    return std::tie(A.Host_, A.Number_) < std::tie(B.Host_, B.Number_);
+  }
+};
+
 /// One fingerprint in a message between the nodes of a service.
 struct QuarantineItem {
   TeamId Team_;
   Fingerprint Fingerprint_ = 0;
-  std::vector<HostId> CrashedHosts_; ///< at most two
+  std::vector<CrashRecord> Crashes_; ///< at most CrashLimit
   Duration TimeLeft_{};              ///< at most 10 min; clocks differ, so no absolute time
 };
 
@@ -57,6 +69,7 @@
   static constexpr std::size_t TableLimit = 1024;
   /// A team over this many entries loses its own oldest one.
   static constexpr std::size_t TeamLimit = 128;
+  static constexpr std::size_t CrashLimit = 8;
 
   explicit Quarantine(HostId Self) : Self_(std::move(Self)) {}
 
@@ -73,7 +86,10 @@
   /// \param Served the backend server gave a whole answer.
   std::vector<QuarantineSend> finished(TimePoint Now, CallId Call, bool Served);
 
-  /// The backend server died; all running calls end. Cost: linear in the running calls.
+  /// The backend server died; all running calls end. The only suspect that ran is quarantined if
+  /// it also ran at the crash of another host. If the table holds a crash at which it did not run,
+  /// more than one cause is at large, and it needs two such crashes as the only suspect.
+  /// Cost: linear in the running calls and the table.
   std::vector<QuarantineSend> crashed(TimePoint Now);
 
   /// Takes in a message; ignored unless From is a node of the service.
@@ -89,7 +105,7 @@
   using Key = std::pair<TeamId, Fingerprint>;
   struct Entry {
     bool Quarantined_ = false;
-    std::set<HostId> CrashedHosts_;
+    std::set<CrashRecord> Crashes_;
     TimePoint Expiry_{};
     std::uint64_t Sequence_ = 0; ///< order of insertion
   };
@@ -105,6 +121,10 @@
   void erase(const Key &Name);
   void evictOldestOf(const TeamId &Team);
   QuarantineItem itemOf(TimePoint Now, const Key &Name, const Entry &Value) const;
+  bool isProven(TimePoint Now, const Entry &Suspect) const;
+  std::set<CrashRecord> explainedCrashes() const;
+  void dropExplained();
+  static void addCrash(Entry &Value, const CrashRecord &Crash);
   std::vector<QuarantineSend> publish(TimePoint Now, QuarantineBody Message);
   void toAll(const QuarantineBody &Message, std::vector<QuarantineSend> &Sends) const;
 
@@ -115,6 +135,7 @@
   std::map<TeamId, std::size_t> CountByTeam_;
   std::vector<Repeat> Repeats_;
   std::uint64_t NextSequence_ = 0;
+  std::uint64_t LastCrash_ = 0;
 };
 
 } // namespace bronzestand
--- a/src/engine/quarantine.cpp
+++ b/src/engine/quarantine.cpp
@@ -14,7 +14,6 @@
 constexpr int RepeatCount = 2;
 /// Older messages are not repeated beyond this many; the bound keeps memory constant.
 constexpr std::size_t MaxRepeats = 64;
-constexpr std::size_t MaxCrashedHosts = 2;
 
 } // namespace
 
@@ -113,27 +112,90 @@
   for (const auto &[Call, Name] : Running_)
     Ran.insert(Name);
   Running_.clear();
+  // Strictly increasing, also over restarts of this process.
+  LastCrash_ = std::max(LastCrash_ + 1, static_cast<std::uint64_t>(Now.time_since_epoch().count()));
+  CrashRecord Crash{Self_, LastCrash_, false};
   if (Suspects.size() == 1) {
-    Entry &Value = put(Now, *Suspects.begin(), Lifetime);
-    const bool Elsewhere = std::any_of(Value.CrashedHosts_.begin(), Value.CrashedHosts_.end(),
-                                       [this](const HostId &Host) { return Host != Self_; });
-    if (Elsewhere) {
-      // The crash is explained, so the requests that ran alongside do not become suspects.
+    const Key &Name = *Suspects.begin();
+    Entry &Value = put(Now, Name, Lifetime);
+    const bool Proven = isProven(Now, Value);
+    Crash.OnlySuspect_ = true;
+    addCrash(Value, Crash);
+    Crash.OnlySuspect_ = false;
+    if (Proven) {
       Value.Quarantined_ = true;
       Value.Expiry_ = Now + Lifetime;
-      return publish(Now, QuarantineMessage{{itemOf(Now, *Suspects.begin(), Value)}});
+      QuarantineMessage Message{{itemOf(Now, Name, Value)}};
+      dropExplained();
+      return publish(Now, std::move(Message));
     }
   }
   SuspectMessage Message;
   for (const Key &Name : Ran) {
     Entry &Value = put(Now, Name, Lifetime);
-    if (Value.CrashedHosts_.size() < MaxCrashedHosts)
-      Value.CrashedHosts_.insert(Self_);
+    addCrash(Value, Crash);
     Message.Items_.push_back(itemOf(Now, Name, Value));
   }
   return Message.Items_.empty() ? std::vector<QuarantineSend>() : publish(Now, std::move(Message));
 }
 
+bool Quarantine::isProven(TimePoint Now, const Entry &Suspect) const {
+  bool Elsewhere = false;
+  bool ElsewhereAsOnly = false;
+  for (const CrashRecord &Crash : Suspect.Crashes_) {
+    Elsewhere = Elsewhere || Crash.Host_ != Self_;
+    ElsewhereAsOnly = ElsewhereAsOnly || (Crash.Host_ != Self_ && Crash.OnlySuspect_);
+  }
+  if (!Elsewhere || ElsewhereAsOnly)
+    return Elsewhere;
+  for (const auto &[Name, Value] : Entries_) {
+    if (Value.Quarantined_ || Value.Expiry_ <= Now)
+      continue;
+    for (const CrashRecord &Crash : Value.Crashes_)
+      if (Suspect.Crashes_.count(Crash) == 0)
+        return false;
+  }
+  return true;
+}
+
+std::set<CrashRecord> Quarantine::explainedCrashes() const {
+  std::set<CrashRecord> Result;
+  for (const auto &[Name, Value] : Entries_)
+    if (Value.Quarantined_)
+      Result.insert(Value.Crashes_.begin(), Value.Crashes_.end());
+  return Result;
+}
+
+/// Crashes of a quarantined fingerprint count no longer against those that ran beside it.
+void Quarantine::dropExplained() {
+  const std::set<CrashRecord> Explained = explainedCrashes();
+  for (auto It = Entries_.begin(); It != Entries_.end();) {
+    const Key Name = It->first;
+    Entry &Value = It->second;
+    ++It;
+    if (Value.Quarantined_)
+      continue;
+    for (const CrashRecord &Crash : Explained)
+      Value.Crashes_.erase(Crash);
+    if (Value.Crashes_.empty())
+      erase(Name);
+  }
+}
+
+void Quarantine::addCrash(Entry &Value, const CrashRecord &Crash) {
+  if (Value.Crashes_.count(Crash) != 0)
+    return;
+  if (Value.Crashes_.size() >= CrashLimit) {
+    // Crashes as the only suspect say more than others, so they are kept.
+    const auto Weak = std::find_if(Value.Crashes_.begin(), Value.Crashes_.end(),
+                                   [](const CrashRecord &Old) { return !Old.OnlySuspect_; });
+    if (Weak == Value.Crashes_.end())
+      return;
+    Value.Crashes_.erase(Weak);
+  }
+  Value.Crashes_.insert(Crash);
+}
+
 void Quarantine::handle(TimePoint Now, const HostId &From, const QuarantineBody &Message) {
   if (Peers_.count(From) == 0)
     return;
@@ -143,10 +205,15 @@
       if (!Value.Quarantined_)
         Value.Expiry_ = Now + std::clamp(Item.TimeLeft_, Duration(0), Lifetime);
       Value.Quarantined_ = true;
+      for (const CrashRecord &Crash : Item.Crashes_)
+        addCrash(Value, Crash);
     }
+    dropExplained();
     return;
   }
   const auto &News = std::get<SuspectMessage>(Message);
+  const std::set<CrashRecord> Explained =
+      News.Cleared_ ? std::set<CrashRecord>() : explainedCrashes();
   for (const QuarantineItem &Item : News.Items_) {
     const Key Name(Item.Team_, Item.Fingerprint_);
     const Entry *Known = find(Now, Name);
@@ -156,10 +223,10 @@
       erase(Name);
       continue;
     }
-    Entry &Value = put(Now, Name, Item.TimeLeft_);
-    for (const HostId &Host : Item.CrashedHosts_)
-      if (Value.CrashedHosts_.size() < MaxCrashedHosts)
-        Value.CrashedHosts_.insert(Host);
+    // A repeated message may arrive after the cause was found.
+    for (const CrashRecord &Crash : Item.Crashes_)
+      if (Explained.count(Crash) == 0)
+        addCrash(put(Now, Name, Item.TimeLeft_), Crash);
   }
 }
 
@@ -212,10 +279,8 @@
 }
 
 QuarantineItem Quarantine::itemOf(TimePoint Now, const Key &Name, const Entry &Value) const {
-  return {Name.first,
-          Name.second,
-          {Value.CrashedHosts_.begin(), Value.CrashedHosts_.end()},
-          Value.Expiry_ - Now};
+  return {
+      Name.first, Name.second, {Value.Crashes_.begin(), Value.Crashes_.end()}, Value.Expiry_ - Now};
 }
 
 std::vector<QuarantineSend> Quarantine::publish(TimePoint Now, QuarantineBody Message) {
--- a/tests/unit/quarantine_test.cpp
+++ b/tests/unit/quarantine_test.cpp
@@ -70,6 +70,20 @@
   CHECK(B_.quarantinedCount() == 0);
 }
 
+// Guards against an innocent suspect that is blamed for a second poison request: with a crash in
+// the table at which it did not run, it needs two crashes as the only suspect.
+TEST_CASE_METHOD(QuarantineFixture, "crash_with_another_cause_at_large_needs_confirmation") {
+  crashFirst();
+  C_.started(Now_, 4, 4, Other);
+  deliver("c", C_.crashed(Now_));
+  crashSecond();
+  CHECK(B_.quarantinedCount() == 0);
+  C_.started(Now_, 5, 1, Team);
+  deliver("c", C_.crashed(Now_));
+  CHECK(A_.mayStart(Now_, 1, Team) == StartVerdict::Quarantined);
+  CHECK(A_.size() == 2); // fingerprint 4 remains a suspect; 2 and 3 are explained
+}
+
 // Guards against quarantine by repeated crashes of one faulty backend server.
 TEST_CASE_METHOD(QuarantineFixture, "crash_of_one_host_twice_quarantines_none") {
   crashFirst();
@@ -100,6 +114,8 @@
   B_.tick(Now_);
   Now_ += 600ms;
   CHECK(B_.tick(Now_).empty());
+  B_.started(Now_, 7, 7, Other);
+  B_.crashed(Now_); // a suspect beside the quarantined fingerprint
   Peers_.insert(HostId("d"));
   CHECK(B_.setPeers(Now_, Peers_).size() == 2);
 }
