Keep fast first errors from making a host look fast

Change: the time of an error counts only if it exceeds the average of whole answers; this includes answers with a 4xx status.

--- a/src/engine/balancer.cpp
+++ b/src/engine/balancer.cpp
@@ -197,10 +197,12 @@
   Host.FailureRate_ += FailureGain * ((Result == Verdict::Failed ? 1.0 : 0.0) - Host.FailureRate_);
   Host.RefusalRate_ += RefusalGain * ((Result == Verdict::Busy ? 1.0 : 0.0) - Host.RefusalRate_);
   const auto Latency = static_cast<double>(Report.Latency_.count());
-  // A fast refusal or a fast error must not make a host look fast.
-  if (Result != Verdict::Good && Latency <= Host.LatencyUs_)
+  const bool WholeAnswer = Result == Verdict::Good && Report.HttpStatus_ < 400;
+  // A fast refusal or error must not make a host look fast, also as the first thing it does.
+  if (!WholeAnswer &&
+      (Service.LatencyUs_ <= 0.0 || Latency <= std::max(Host.LatencyUs_, Service.LatencyUs_)))
     return;
-  if (Result == Verdict::Good)
+  if (WholeAnswer)
     Service.LatencyUs_ +=
         (Service.LatencyUs_ > 0.0 ? ServiceLatencyGain : 1.0) * (Latency - Service.LatencyUs_);
   // Follows a rise at once by half, a fall slowly.
--- a/tests/unit/balancer_test.cpp
+++ b/tests/unit/balancer_test.cpp
@@ -75,6 +75,20 @@
   CHECK(Picked_["h0"] < 300);
 }
 
+// Guards against a host that looks fast because its first answers were fast errors, for a range
+// of orders in which the hosts are first used.
+TEST_CASE("pick_host_that_starts_with_fast_errors_gets_less") {
+  const auto Seed = GENERATE(range(1, 21));
+  const CallReport Report = GENERATE(refused(100us, Refusal::Overloaded), served(100us, 500));
+  BalancerFixture Fixture;
+  Fixture.Balancer_ = Balancer(static_cast<std::uint64_t>(Seed), 4);
+  Fixture.publish();
+  Fixture.Reports_["h0"] = Report;
+  Fixture.run(6'000);
+  INFO("seed " << Seed);
+  CHECK(Fixture.Picked_["h0"] < 300);
+}
+
 // Guards against a slow host that is never tried again.
 TEST_CASE_METHOD(BalancerFixture, "pick_slow_host_is_avoided_but_probed") {
   Reports_["h0"] = served(100ms);
