--- a/tests/integration/fleet.cpp
+++ b/tests/integration/fleet.cpp
@@ -84,7 +84,7 @@
   return true;
 }
 
-Fleet::Fleet(std::vector<HostOptions> Hosts) : Hosts_(std::move(Hosts)) {
+Fleet::Fleet(std::vector<HostOptions> Hosts, PeerPath Path) : Hosts_(std::move(Hosts)) {
   char Name[] = "/tmp/bronzestand-fleet-XXXXXX";
   Directory_ = ::mkdtemp(Name);
   const std::string Shared = nextAddress();
@@ -97,6 +97,10 @@
     for (Endpoint *Item :
          {&Own.Caller_, &Own.Egress_, &Own.Peer_, &Own.Operator_, &Own.Backend_, &Own.PeerProxy_})
       *Item = freeEndpoint(Address);
+    if (Path == PeerPath::Direct) {
+      Own.PeerProxy_ = Own.Peer_;
+      continue;
+    }
     ProxyArguments.emplace_back("--route");
     ProxyArguments.push_back(
         fmt::format("{}={}={}", Host.Id_, Own.PeerProxy_.str(), Own.Peer_.str()));
@@ -177,6 +181,10 @@
   return Addresses_.at(Host).Operator_;
 }
 
+Endpoint Fleet::backendAddress(const std::string &Host) const {
+  return Addresses_.at(Host).Backend_;
+}
+
 void Fleet::put(const std::string &Path, const std::string &Text) {
   const HttpReply Reply =
       httpCall(PlatformAddress_, makeRequest("PUT", "/control/value?path=" + Path, Text));
--- a/tests/integration/fleet.h
+++ b/tests/integration/fleet.h
@@ -54,7 +54,10 @@
 public:
   static constexpr const char *KeySalt = "test-salt";
 
-  explicit Fleet(std::vector<HostOptions> Hosts);
+  enum class PeerPath { ThroughProxy, Direct };
+
+  /// \param Path Direct leaves the fault proxy out of the links; used for measurements.
+  explicit Fleet(std::vector<HostOptions> Hosts, PeerPath Path = PeerPath::ThroughProxy);
   ~Fleet();
   Fleet(const Fleet &) = delete;
   Fleet &operator=(const Fleet &) = delete;
@@ -84,6 +87,7 @@
 
   node::Endpoint callerAddress(const std::string &Host) const;
   node::Endpoint operatorAddress(const std::string &Host) const;
+  node::Endpoint backendAddress(const std::string &Host) const;
   nlohmann::json state(const std::string &Host);
   nlohmann::json backendStats(const std::string &Host, const std::string &Query = "");
 
