Let a measurement switch off single mechanisms

Cause: a proof has to fail without the mechanism that it is about. Change: adds the setting disable and passes it through the test fleet.

--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -1,5 +1,6 @@
 #include "node/settings.h"
 
+#include <algorithm>
 #include <array>
 #include <fstream>
 #include <sstream>
@@ -43,6 +44,22 @@
   return Result;
 }
 
+constexpr std::array<std::string_view, 10> MechanismNames{
+    "team_limits", "claims",   "dispatcher", "fairness",    "admission",
+    "attempts",    "balancer", "quarantine", "link_budget", "key_check"};
+
+std::set<Mechanism> readDisabled(YamlReader &Reader) {
+  std::set<Mechanism> Result;
+  for (const std::string &Text : Reader.texts("disable")) {
+    const auto *Found = std::find(MechanismNames.begin(), MechanismNames.end(), Text);
+    if (Found == MechanismNames.end())
+      Reader.fail(ErrorCode::InvalidValue, "disable", Text + " is not a mechanism");
+    else
+      Result.insert(static_cast<Mechanism>(Found - MechanismNames.begin()));
+  }
+  return Result;
+}
+
 LogSettings readLog(YamlReader Reader) {
   LogSettings Log;
   const std::string Format = Reader.text("format", false, "text");
@@ -59,6 +76,10 @@
 
 } // namespace
 
+std::string_view mechanismName(Mechanism Value) {
+  return MechanismNames[static_cast<std::size_t>(Value)];
+}
+
 absl::StatusOr<Endpoint> parseEndpoint(const std::string &Text) {
   const std::size_t Colon = Text.rfind(':');
   boost::system::error_code Failure;
@@ -97,6 +118,7 @@
   Out.DrainLimit_ =
       std::chrono::milliseconds(Reader.integer("drain_limit_ms", 0, 3'600'000, false, 30'000));
   Out.Log_ = readLog(Reader.map("log", false));
+  Out.Disabled_ = readDisabled(Reader);
   Reader.finish();
   return Result;
 }
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -1,7 +1,9 @@
 #ifndef BRONZESTAND_NODE_SETTINGS_H
 #define BRONZESTAND_NODE_SETTINGS_H
 
+#include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "absl/status/statusor.h"
@@ -19,6 +21,22 @@
   std::string str() const { return Address_ + ":" + std::to_string(Port_); }
 };
 
+/// Mechanisms that a measurement can switch off, to show what each one contributes.
+enum class Mechanism {
+  TeamLimits,
+  Claims,
+  Dispatcher,
+  Fairness,
+  Admission,
+  Attempts,
+  Balancer,
+  Quarantine,
+  LinkBudget,
+  KeyCheck,
+};
+
+std::string_view mechanismName(Mechanism Value);
+
 /// Settings of one node. All of them need a restart; live configuration comes from the platform.
 struct Settings {
   HostId Host_;
@@ -35,6 +53,9 @@
   std::string PeerSecret_;
   Duration DrainLimit_ = std::chrono::seconds(30);
   LogSettings Log_;
+  std::set<Mechanism> Disabled_; ///< for measurements only
+
+  bool isEnabled(Mechanism Value) const { return Disabled_.count(Value) == 0; }
 };
 
 struct ParsedSettings {
--- a/tests/integration/fleet.cpp
+++ b/tests/integration/fleet.cpp
@@ -84,7 +84,8 @@
   return true;
 }
 
-Fleet::Fleet(std::vector<HostOptions> Hosts, PeerPath Path) : Hosts_(std::move(Hosts)) {
+Fleet::Fleet(std::vector<HostOptions> Hosts, PeerPath Path, std::string Disabled)
+    : Hosts_(std::move(Hosts)), Disabled_(std::move(Disabled)) {
   char Name[] = "/tmp/bronzestand-fleet-XXXXXX";
   Directory_ = ::mkdtemp(Name);
   const std::string Shared = nextAddress();
@@ -138,10 +139,11 @@
   return fmt::format("host_id: {}\ndata_centre: {}\nregion: {}\nservice: {}\n"
                      "caller_listen: {}\negress_listen: {}\npeer_listen: {}\n"
                      "operator_listen: {}\nbackend_server: {}\nplatform: [\"{}\"]\n"
-                     "peer_secret: integration-test-secret\nlog: {{level: info}}\npeers:\n{}",
+                     "peer_secret: integration-test-secret\nlog: {{level: info}}\ndisable: [{}]\n"
+                     "peers:\n{}",
                      Host.Id_, Host.DataCentre_, Host.Region_, Host.Service_, Own.Caller_.str(),
                      Own.Egress_.str(), Own.Peer_.str(), Own.Operator_.str(), Own.Backend_.str(),
-                     PlatformAddress_.str(), Peers);
+                     PlatformAddress_.str(), Disabled_, Peers);
 }
 
 void Fleet::startNode(const std::string &Host) {
--- a/tests/integration/fleet.h
+++ b/tests/integration/fleet.h
@@ -57,7 +57,9 @@
   enum class PeerPath { ThroughProxy, Direct };
 
   /// \param Path Direct leaves the fault proxy out of the links; used for measurements.
-  explicit Fleet(std::vector<HostOptions> Hosts, PeerPath Path = PeerPath::ThroughProxy);
+  /// \param Disabled mechanisms that all nodes switch off, separated by commas.
+  explicit Fleet(std::vector<HostOptions> Hosts, PeerPath Path = PeerPath::ThroughProxy,
+                 std::string Disabled = {});
   ~Fleet();
   Fleet(const Fleet &) = delete;
   Fleet &operator=(const Fleet &) = delete;
@@ -117,6 +119,7 @@
   node::Endpoint PlatformAddress_;
   node::Endpoint ProxyControl_;
   std::string Directory_;
+  std::string Disabled_;
   std::unique_ptr<Process> Platform_;
   std::unique_ptr<Process> Proxy_;
   std::map<std::string, std::unique_ptr<Process>> Nodes_;
