Add team limits engine with owner, broker and consumer roles

Cause: a team's rate and burst must hold over all hosts combined. Change: rights of 1/N are lent from owners to brokers and leased to consumers.

--- /dev/null
+++ b/src/engine/team_limits.cpp
@@ -0,0 +1,163 @@
+#include "bronzestand/team_limits.h"
+
+#include <algorithm>
+
+#include <xxhash.h>
+
+namespace bronzestand {
+namespace detail {
+
+void LoanRecord::add(double Fraction, TimePoint End) {
+  // An earlier loan that is neither larger nor longer adds nothing.
+  Loans_.erase(
+      std::remove_if(Loans_.begin(), Loans_.end(),
+                     [&](const auto &L) { return L.first <= Fraction && L.second <= End; }),
+      Loans_.end());
+  Loans_.emplace_back(Fraction, End);
+}
+
+double LoanRecord::exposure(TimePoint Now) {
+  Loans_.erase(
+      std::remove_if(Loans_.begin(), Loans_.end(), [&](const auto &L) { return L.second <= Now; }),
+      Loans_.end());
+  double Result = 0;
+  for (const auto &Loan : Loans_)
+    Result = std::max(Result, Loan.first);
+  return Result;
+}
+
+TimePoint LoanRecord::end() const {
+  TimePoint Result{};
+  for (const auto &Loan : Loans_)
+    Result = std::max(Result, Loan.second);
+  return Result;
+}
+
+void Bucket::advance(TimePoint Now, double Fraction, double Rate, double Burst) {
+  constexpr Duration MaxAccrual = std::chrono::milliseconds(50);
+  const Duration Passed = std::clamp(Now - Updated_, Duration::zero(), MaxAccrual);
+  const double Seconds = std::chrono::duration<double>(Passed).count();
+  Level_ += Seconds * Rate * std::min(Fraction, LastFraction_);
+  Level_ = std::clamp(Level_, 0.0, std::max(0.0, Fraction * Burst));
+  LastFraction_ = std::max(0.0, Fraction);
+  Updated_ = std::max(Updated_, Now);
+}
+
+} // namespace detail
+
+TeamLimits::TeamLimits(HostId Self, DataCentreId DataCentre, Incarnation Run, TimePoint Start,
+                       LimitSettings Settings)
+    : Self_(std::move(Self)), DataCentre_(std::move(DataCentre)), Run_(Run), Start_(Start),
+      Settings_(Settings), Shards_(Settings.Shards_) {
+  count(Self_);
+}
+
+void TeamLimits::setTeam(TimePoint Now, const TeamId &Team, double Rate, double Burst) {
+  detail::TeamState &State = Teams_[Team];
+  if (State.Active_) {
+    advanceBucket(Now, State);
+    advancePool(Now, State);
+  }
+  State.Active_ = true;
+  State.Shard_ = static_cast<std::uint32_t>(XXH3_64bits(Team.str().data(), Team.str().size()) %
+                                            Shards_.size());
+  State.Rate_ = std::max(0.0, Rate);
+  State.Burst_ = std::max(0.0, Burst);
+  advanceBucket(Now, State);
+  advancePool(Now, State);
+}
+
+void TeamLimits::removeTeam(TimePoint Now, const TeamId &Team) {
+  // The record of outstanding leases stays, because the team may be added again before they end.
+  const auto It = Teams_.find(Team);
+  if (It == Teams_.end())
+    return;
+  returnLeases(Now, Team, It->second);
+  It->second.Active_ = false;
+  It->second.Waiting_.clear();
+  It->second.Pool_.Level_ = 0;
+  drainLocal(Now);
+}
+
+void TeamLimits::handle(TimePoint Now, const HostId &From, const LimitMessage &Message) {
+  std::visit([&](const auto &M) { on(Now, From, M); }, Message);
+  drainLocal(Now);
+}
+
+void TeamLimits::tick(TimePoint Now) {
+  retireHosts(Now);
+  sendJoins(Now);
+  askOwners(Now);
+  for (auto &[Name, Team] : Teams_) {
+    if (!Team.Active_)
+      continue;
+    tickBroker(Now, Name, Team);
+    tickConsumer(Now, Name, Team);
+  }
+  drainLocal(Now);
+}
+
+void TeamLimits::leaving(TimePoint Now) {
+  for (auto &[Name, Team] : Teams_)
+    returnLeases(Now, Name, Team);
+  drainLocal(Now);
+  Leaving_ = true;
+  const Duration Longest =
+      std::max({Settings_.OwnerTerm_, Settings_.LeaseTerm_, Settings_.BulkTerm_});
+  for (const HostId &Host : Counted_)
+    send(Host, LeaveNotice{Run_, Longest});
+}
+
+void TeamLimits::wakeAfterPause(TimePoint Now) {
+  for (auto &[Name, Team] : Teams_) {
+    // Tokens of a bucket are worth nothing once any of the leases behind them may have ended.
+    Team.Bucket_ = {};
+    Team.Pool_ = {};
+    Team.Bucket_.Updated_ = Team.Pool_.Updated_ = Now;
+    for (auto &[Host, Lease] : Team.Leases_)
+      Lease.Pending_ = false;
+    for (auto &[Host, Loan] : Team.Bulk_)
+      Loan.Pending_ = false;
+    Team.Waiting_.clear();
+  }
+}
+
+std::vector<LimitEffect> TeamLimits::takeEffects() { return std::exchange(Effects_, {}); }
+
+TeamLimitsDump TeamLimits::dump(TimePoint Now) {
+  TeamLimitsDump Result;
+  Result.HostsCounted_ = Counted_.size();
+  Result.OwnRightUsable_ = ownRightUsable(Now);
+  for (const HostId &Host : Counted_) {
+    const auto It = Joined_.find(Host);
+    Result.JoinsMissing_ +=
+        Host != Self_ && (It == Joined_.end() || It->second < Counted_.size()) ? 1U : 0U;
+  }
+  for (auto &[Name, Team] : Teams_)
+    if (Team.Active_)
+      Result.Teams_.push_back({Name, leased(Now, Team), Team.Bucket_.Level_,
+                               poolFraction(Now, Team, Now), lentFraction(Now, Team),
+                               Team.Pool_.Level_});
+  return Result;
+}
+
+void TeamLimits::send(const HostId &To, LimitMessage Message) {
+  if (To == Self_)
+    Local_.push_back(std::move(Message));
+  else
+    Effects_.emplace_back(LimitSend{To, std::move(Message)});
+}
+
+void TeamLimits::drainLocal(TimePoint Now) {
+  if (Draining_)
+    return;
+  Draining_ = true;
+  while (!Local_.empty()) {
+    const std::vector<LimitMessage> Batch = std::exchange(Local_, {});
+    for (const LimitMessage &Message : Batch)
+      std::visit([&](const auto &M) { on(Now, Self_, M); }, Message);
+  }
+  Draining_ = false;
+}
+
+} // namespace bronzestand
--- /dev/null
+++ b/src/engine/team_limits_broker.cpp
@@ -0,0 +1,248 @@
+#include <algorithm>
+
+#include "bronzestand/team_limits.h"
+
+namespace bronzestand {
+namespace {
+
+Duration scaled(Duration Term, double Part) {
+  return std::chrono::duration_cast<Duration>(Term * Part);
+}
+
+} // namespace
+
+bool TeamLimits::poolUsable(TimePoint Now) const {
+  // Leases of an earlier run of this broker may still be in use.
+  return !Leaving_ && ((JoinComplete_ && !HeldBefore_) || Now >= Start_ + 2 * Settings_.BulkTerm_);
+}
+
+void TeamLimits::askOwners(TimePoint Now) {
+  for (std::size_t Index = 0; Index < Shards_.size(); ++Index) {
+    detail::ShardState &Shard = Shards_[Index];
+    if (Shard.LocalBroker_ != Self_ || Leaving_ || Listed_.count(Self_) == 0 ||
+        Now < Shard.NextAsk_)
+      continue;
+    bool Missing = false;
+    for (const LimitHost &Host : Hosts_) {
+      if (Host.DataCentre_ != DataCentre_ || Host.Id_ == Self_)
+        continue;
+      const auto It = Shard.Owners_.find(Host.Id_);
+      const TimePoint Due =
+          It == Shard.Owners_.end() ? TimePoint{} : It->second.Stamp_ + Settings_.OwnerRenewal_;
+      if (It != Shard.Owners_.end() && Now < Due)
+        continue;
+      Missing = true;
+      send(Host.Id_, LendRequest{static_cast<std::uint32_t>(Index), Run_, Now});
+    }
+    // Owners that start at the same time become able to lend within one round trip.
+    const bool Starting = Now < Start_ + Settings_.OwnerRenewal_;
+    const Duration Retry = std::chrono::milliseconds(Starting ? 50 : 1000);
+    Shard.NextAsk_ = Now + (Missing ? Retry : std::chrono::milliseconds(200));
+  }
+}
+
+void TeamLimits::on(TimePoint Now, const HostId &From, const Lend &Message) {
+  if (Message.ToIncarnation_ != Run_ || Message.Shard_ >= Shards_.size() ||
+      Message.Incarnation_ < Runs_[From])
+    return;
+  noteRun(From, Message.Incarnation_);
+  detail::Holding &Held = Shards_[Message.Shard_].Owners_[From];
+  if (Message.Stamp_ <= Held.Stamp_)
+    return;
+  for (auto &[Name, Team] : Teams_)
+    if (Team.Shard_ == Message.Shard_)
+      advancePool(Now, Team);
+  Held = {Message.Fraction_, Message.Stamp_ + scaled(Message.Term_, Settings_.BorrowerPart_),
+          Message.Stamp_};
+  if (Message.Fraction_ > 0) {
+    std::uint32_t &Count = OwnersCount_[From];
+    Count = std::max(Count, static_cast<std::uint32_t>(1.0 / Message.Fraction_ + 1e-6));
+  }
+}
+
+// Fraction that owners have lent to this node until a time, and its own share unless lent.
+double TeamLimits::ownedFraction(TimePoint Now, const detail::TeamState &Team, TimePoint Time) {
+  if (!poolUsable(Now))
+    return 0;
+  detail::ShardState &Shard = Shards_[Team.Shard_];
+  double Sum = ownRightUsable(Now) && Shard.Lent_.exposure(Now) <= 0 ? ownShare() : 0;
+  for (const auto &[Host, Held] : Shard.Owners_)
+    Sum += Held.at(Time);
+  return Sum;
+}
+
+double TeamLimits::poolFraction(TimePoint Now, const detail::TeamState &Team, TimePoint Time) {
+  double Sum = ownedFraction(Now, Team, Time);
+  if (Sum <= 0 && !poolUsable(Now))
+    return 0;
+  for (const auto &[Host, Loan] : Team.Bulk_)
+    Sum += Loan.Holding_.at(Time);
+  return Sum;
+}
+
+double TeamLimits::lentFraction(TimePoint Now, detail::TeamState &Team) {
+  double Sum = 0;
+  for (auto &[Key, Record] : Team.Lent_)
+    Sum += Record.exposure(Now);
+  return Sum;
+}
+
+void TeamLimits::advancePool(TimePoint Now, detail::TeamState &Team) {
+  const double Free = std::max(0.0, poolFraction(Now, Team, Now) - lentFraction(Now, Team));
+  Team.Pool_.advance(Now, Free, Team.Rate_, Team.Burst_);
+}
+
+void TeamLimits::on(TimePoint Now, const HostId &From, const LeaseRequest &Message) {
+  const auto It = Teams_.find(Message.Team_);
+  if (It == Teams_.end() || !It->second.Active_ || Leaving_ || Message.Incarnation_ < Runs_[From])
+    return;
+  noteRun(From, Message.Incarnation_);
+  detail::TeamState &Team = It->second;
+  detail::LoanRecord &Record = Team.Lent_[{From, Message.Bulk_}];
+  // A new run of a consumer has no use of its earlier lease. Bulk loans stay, because the earlier
+  // run may have lent them on.
+  if (Message.Incarnation_ > Record.Borrower_ && !Message.Bulk_)
+    Record.clear();
+  if (Message.Incarnation_ == Record.Borrower_ && Message.Stamp_ <= Record.LastStamp_)
+    return;
+  Record.Borrower_ = Message.Incarnation_;
+  Record.LastStamp_ = Message.Stamp_;
+  if (!Message.Bulk_)
+    Team.Wanted_[From] = Message.Wanted_;
+  if (grant(Now, Team, From, Message, !Message.Bulk_))
+    return;
+  Team.Waiting_.push_back({From, Message, Now + Settings_.BulkWait_});
+  askBulk(Now, Message.Team_, Team);
+}
+
+// Returns false if the answer should wait for a bulk loan.
+bool TeamLimits::grant(TimePoint Now, detail::TeamState &Team, const HostId &To,
+                       const LeaseRequest &Request, bool MayWait) {
+  const Duration Term = Request.Bulk_ ? Settings_.BulkTerm_ : Settings_.LeaseTerm_;
+  advancePool(Now, Team);
+  detail::LoanRecord &Record = Team.Lent_[{To, Request.Bulk_}];
+  const double Old = Record.exposure(Now);
+  const double LentToOthers = lentFraction(Now, Team) - Old;
+  // Bulk loans are granted from owners' loans only, so that no loan returns to its lender.
+  // Free today and at the end of the term: loans behind the pool may end in between.
+  const double Until =
+      Request.Bulk_ ? ownedFraction(Now, Team, Now + Term) : poolFraction(Now, Team, Now + Term);
+  const double Free = std::max(0.0, Until - LentToOthers);
+  double Wanted = Request.Wanted_, Total = 0;
+  for (const auto &[Host, Fraction] : Team.Wanted_)
+    Total += Fraction;
+  if (!Request.Bulk_ && Total > Until && Total > 0)
+    Wanted = std::min(Wanted, Until * Wanted / Total);
+  const double Fraction = std::min(Wanted, Free);
+  const double PoolCap =
+      std::max(0.0, Until - LentToOthers - std::max(Old, Fraction)) * Team.Burst_;
+  const double Room = std::max(0.0, Fraction * Team.Burst_ - Request.LevelBound_);
+  // Tokens above the pool's remaining capacity would be lost, so they go along.
+  const double Tokens = std::min(
+      {std::max(Request.TokensWanted_, Team.Pool_.Level_ - PoolCap), Team.Pool_.Level_, Room});
+  const bool Short = Fraction < Request.Wanted_ * 0.9 || Tokens < Request.TokensWanted_ * 0.9;
+  Team.TokensMissing_ = Short ? std::max(0.0, Request.TokensWanted_ - Tokens) : 0;
+  if (Short && MayWait && !Shards_[Team.Shard_].OtherBrokers_.empty())
+    return false;
+  Record.add(Fraction, Now + Term);
+  Record.GrantStamp_ = Request.Stamp_;
+  Team.Pool_.Level_ -= Tokens;
+  advancePool(Now, Team);
+  send(To, LeaseGrant{Request.Team_, Run_, Request.Incarnation_, Request.Stamp_, Fraction, Tokens,
+                      Term, Request.Bulk_});
+  return true;
+}
+
+void TeamLimits::askBulk(TimePoint Now, const TeamId &Name, detail::TeamState &Team) {
+  const detail::ShardState &Shard = Shards_[Team.Shard_];
+  if (Shard.OtherBrokers_.empty() || Shard.LocalBroker_ != Self_ || Leaving_)
+    return;
+  double Wanted = 0;
+  for (const auto &[Host, Fraction] : Team.Wanted_)
+    Wanted += Fraction;
+  const double Missing = std::min(1.0, Wanted) - ownedFraction(Now, Team, Now);
+  if (Missing <= 0 && Team.TokensMissing_ <= 0)
+    return;
+  advancePool(Now, Team);
+  const auto Parts = static_cast<double>(Shard.OtherBrokers_.size());
+  for (const HostId &Host : Shard.OtherBrokers_) {
+    detail::Borrowing &Loan = Team.Bulk_[Host];
+    if (Loan.Pending_ || Now < Loan.Asked_ + Settings_.LeaseRenewal_ / 8)
+      continue;
+    LeaseRequest Request;
+    Request.Team_ = Name;
+    Request.Incarnation_ = Run_;
+    Request.Stamp_ = Now;
+    Request.Bulk_ = true;
+    Request.Wanted_ = std::max(Missing, 0.05) / Parts;
+    Request.TokensWanted_ = Request.Wanted_ * Team.Burst_;
+    // Leases granted on the loan may hold its full burst, so a renewal brings tokens only for the
+    // fraction that it adds.
+    Request.LevelBound_ = Loan.Holding_.at(Now) * Team.Burst_;
+    Request.TokensWanted_ = std::max(0.0, Request.TokensWanted_ - Request.LevelBound_);
+    Loan.Pending_ = true;
+    Loan.Asked_ = Now;
+    send(Host, Request);
+  }
+}
+
+void TeamLimits::answerWaiting(TimePoint Now, detail::TeamState &Team, bool All) {
+  std::vector<detail::WaitingRequest> Waiting = std::exchange(Team.Waiting_, {});
+  for (detail::WaitingRequest &Entry : Waiting) {
+    const bool Final = All || Now >= Entry.Deadline_;
+    if (!grant(Now, Team, Entry.From_, Entry.Request_, !Final))
+      Team.Waiting_.push_back(std::move(Entry));
+  }
+}
+
+void TeamLimits::on(TimePoint Now, const HostId &From, const LeaseReturn &Message) {
+  const auto It = Teams_.find(Message.Team_);
+  if (It == Teams_.end())
+    return;
+  detail::TeamState &Team = It->second;
+  const auto Lent = Team.Lent_.find({From, Message.Bulk_});
+  // Only the last grant may be returned: a later one may be on its way.
+  if (Lent == Team.Lent_.end() || Lent->second.Borrower_ != Message.Incarnation_ ||
+      Lent->second.GrantStamp_ != Message.Stamp_)
+    return;
+  advancePool(Now, Team);
+  Lent->second.clear();
+  Lent->second.GrantStamp_ = {};
+  if (!Message.Bulk_)
+    Team.Wanted_.erase(From);
+  Team.Pool_.Level_ += Message.Tokens_;
+  advancePool(Now, Team);
+}
+
+void TeamLimits::tickBroker(TimePoint Now, const TeamId &Name, detail::TeamState &Team) {
+  advancePool(Now, Team);
+  for (auto It = Team.Wanted_.begin(); It != Team.Wanted_.end();)
+    It = Team.Lent_[{It->first, false}].end() < Now ? Team.Wanted_.erase(It) : std::next(It);
+  bool Pending = false;
+  for (auto &[Host, Loan] : Team.Bulk_) {
+    if (Loan.Pending_ && Now >= Loan.Asked_ + Settings_.AnswerTimeout_)
+      Loan.Pending_ = false;
+    Pending |= Loan.Pending_;
+  }
+  if (!Team.Waiting_.empty())
+    answerWaiting(Now, Team, !Pending);
+  if (!Team.Wanted_.empty() && Now >= Team.NextBulk_) {
+    Team.NextBulk_ = Now + Settings_.BulkRenewal_;
+    askBulk(Now, Name, Team);
+  }
+  // Bulk loans without demand are returned once no lease stands on them.
+  if (Team.Bulk_.empty() || Pending || !Team.Wanted_.empty() ||
+      lentFraction(Now, Team) > ownedFraction(Now, Team, Now + Settings_.BulkTerm_))
+    return;
+  double Tokens = Team.Pool_.Level_;
+  for (auto &[Host, Loan] : std::exchange(Team.Bulk_, {}))
+    if (Loan.Holding_.at(Now) > 0) {
+      const double Part = std::min(Tokens, Loan.Holding_.Fraction_ * Team.Burst_);
+      Tokens -= Part;
+      Team.Pool_.Level_ -= Part;
+      send(Host, LeaseReturn{Name, Run_, Loan.Holding_.Stamp_, Part, true});
+    }
+  advancePool(Now, Team);
+}
+
+} // namespace bronzestand
