Add spot leases to team limits

Cause: shallow leases lose tokens when a team's calls are spread over many nodes. Change: leases that carry tokens and room but no accrual.

--- a/include/bronzestand/team_limits.h
+++ b/include/bronzestand/team_limits.h
@@ -29,8 +29,14 @@
   Duration LeaseRenewal_ = std::chrono::milliseconds(400);
   Duration BulkTerm_ = std::chrono::seconds(2);
   Duration BulkRenewal_ = std::chrono::milliseconds(500);
-  /// A lease without calls for this time is returned.
-  Duration IdleReturn_ = std::chrono::milliseconds(300);
+  /// Terms of leases and bulk loans that carry tokens for requests held now, and little more.
+  Duration SpotTerm_ = std::chrono::milliseconds(120);
+  Duration SpotBulkTerm_ = std::chrono::milliseconds(250);
+  /// A lease shallower than this many requests is replaced by spot leases, because normal
+  /// variation of the demand would empty it while the pool still has tokens.
+  double LeaseDepth_ = 10;
+  /// Without calls for this time, and for several times the usual gap, a lease is returned.
+  Duration IdleReturn_ = std::chrono::milliseconds(40);
   /// Time without an answer after which a request may be repeated.
   Duration AnswerTimeout_ = std::chrono::milliseconds(100);
   /// How long a broker delays an answer while it waits for a bulk loan; leaves room in 50 ms.
@@ -82,6 +88,7 @@
   double TokensWanted_ = 0; ///< requests
   double LevelBound_ = 0;   ///< the sender's level stays at or below this until the answer
   bool Bulk_ = false;
+  bool Spot_ = false;
 };
 struct LeaseGrant {
   TeamId Team_;
@@ -92,6 +99,7 @@
   double Tokens_ = 0;
   Duration Term_{};
   bool Bulk_ = false;
+  bool Spot_ = false; ///< the fraction gives room for tokens but no accrual
 };
 /// Ends all leases of a team from one lender, with the tokens left.
 struct LeaseReturn {
@@ -148,8 +156,9 @@
 /// earlier, larger loan: the message that carries it may be lost.
 class LoanRecord {
 public:
-  void add(double Fraction, TimePoint End);
+  void add(double Fraction, double Rate, TimePoint End);
   double exposure(TimePoint Now);
+  double rateExposure(TimePoint Now);
   TimePoint end() const;
   void clear() { Loans_.clear(); }
   Incarnation Borrower_ = 0;
@@ -157,13 +166,20 @@
   TimePoint GrantStamp_{};
 
 private:
-  std::vector<std::pair<double, TimePoint>> Loans_;
+  struct Loan {
+    double Fraction_, Rate_;
+    TimePoint End_;
+  };
+  void expire(TimePoint Now);
+  std::vector<Loan> Loans_;
 };
 
 /// Borrower's view of a loan.
 struct Holding {
   double Fraction_ = 0;
+  double Rate_ = 0; ///< 0 on a spot loan: the lender keeps the accrual
   TimePoint End_{}, Stamp_{};
+  double rateAt(TimePoint Time) const { return Time < End_ ? Rate_ : 0; }
   double at(TimePoint Time) const { return Time < End_ ? Fraction_ : 0; }
 };
 
@@ -172,9 +188,11 @@
   double Level_ = 0;
   double LastFraction_ = 0;
   TimePoint Updated_{};
-  /// Accrues at the smaller of the last and the present fraction, for at most 50 ms: that is the
-  /// borrower's margin of the shortest loan, so time after an unseen expiry stays covered.
-  void advance(TimePoint Now, double Fraction, double Rate, double Burst);
+  TimePoint ValidUntil_{};
+  /// Accrues at the smaller of the last and the present fraction, until the first loan behind the
+  /// last fraction ends.
+  void advance(TimePoint Now, double RateFraction, double Rate, double Capacity,
+               TimePoint ValidUntil);
 };
 
 /// Borrower side of leases from one lender; at most one request is outstanding.
@@ -182,7 +200,7 @@
   Holding Holding_;
   bool Pending_ = false;
   std::uint32_t Unanswered_ = 0;
-  double LevelBound_ = 0;
+  double LevelBound_ = 0, TokensWanted_ = 0;
   TimePoint Asked_{};
 };
 
@@ -277,7 +295,11 @@
   void askOwners(TimePoint Now);
   double ownedFraction(TimePoint Now, const detail::TeamState &Team, TimePoint Time);
   double poolFraction(TimePoint Now, const detail::TeamState &Team, TimePoint Time);
+  double poolRate(TimePoint Now, const detail::TeamState &Team, TimePoint Time);
   double lentFraction(TimePoint Now, detail::TeamState &Team);
+  double lentRate(TimePoint Now, detail::TeamState &Team);
+  TimePoint poolEnd(TimePoint Now, const detail::TeamState &Team) const;
+  Duration termOf(const LeaseRequest &Request) const;
   void advancePool(TimePoint Now, detail::TeamState &Team);
   bool grant(TimePoint Now, detail::TeamState &Team, const HostId &To, const LeaseRequest &Request,
              bool MayWait);
@@ -287,6 +309,7 @@
 
   // Consumer role: team_limits_consumer.cpp.
   double leased(TimePoint Now, const detail::TeamState &Team) const;
+  double leasedRate(TimePoint Now, const detail::TeamState &Team) const;
   void advanceBucket(TimePoint Now, detail::TeamState &Team);
   void askLease(TimePoint Now, const TeamId &Name, detail::TeamState &Team);
   void returnLeases(TimePoint Now, const TeamId &Name, detail::TeamState &Team);
--- a/src/engine/team_limits.cpp
+++ b/src/engine/team_limits.cpp
@@ -7,40 +7,54 @@
 namespace bronzestand {
 namespace detail {
 
-void LoanRecord::add(double Fraction, TimePoint End) {
+void LoanRecord::add(double Fraction, double Rate, TimePoint End) {
   // An earlier loan that is neither larger nor longer adds nothing.
+  Loans_.erase(std::remove_if(Loans_.begin(), Loans_.end(),
+                              [&](const Loan &L) {
+                                return L.Fraction_ <= Fraction && L.Rate_ <= Rate && L.End_ <= End;
+                              }),
+               Loans_.end());
+  Loans_.push_back({Fraction, Rate, End});
+}
+
+void LoanRecord::expire(TimePoint Now) {
   Loans_.erase(
-      std::remove_if(Loans_.begin(), Loans_.end(),
-                     [&](const auto &L) { return L.first <= Fraction && L.second <= End; }),
+      std::remove_if(Loans_.begin(), Loans_.end(), [&](const Loan &L) { return L.End_ <= Now; }),
       Loans_.end());
-  Loans_.emplace_back(Fraction, End);
 }
 
 double LoanRecord::exposure(TimePoint Now) {
-  Loans_.erase(
-      std::remove_if(Loans_.begin(), Loans_.end(), [&](const auto &L) { return L.second <= Now; }),
-      Loans_.end());
+  expire(Now);
+  double Result = 0;
+  for (const Loan &Entry : Loans_)
+    Result = std::max(Result, Entry.Fraction_);
+  return Result;
+}
+
+double LoanRecord::rateExposure(TimePoint Now) {
+  expire(Now);
   double Result = 0;
-  for (const auto &Loan : Loans_)
-    Result = std::max(Result, Loan.first);
+  for (const Loan &Entry : Loans_)
+    Result = std::max(Result, Entry.Rate_);
   return Result;
 }
 
 TimePoint LoanRecord::end() const {
   TimePoint Result{};
-  for (const auto &Loan : Loans_)
-    Result = std::max(Result, Loan.second);
+  for (const Loan &Entry : Loans_)
+    Result = std::max(Result, Entry.End_);
   return Result;
 }
 
-void Bucket::advance(TimePoint Now, double Fraction, double Rate, double Burst) {
-  constexpr Duration MaxAccrual = std::chrono::milliseconds(50);
-  const Duration Passed = std::clamp(Now - Updated_, Duration::zero(), MaxAccrual);
+void Bucket::advance(TimePoint Now, double RateFraction, double Rate, double Capacity,
+                     TimePoint ValidUntil) {
+  const Duration Passed = std::max(Duration::zero(), std::min(Now, ValidUntil_) - Updated_);
   const double Seconds = std::chrono::duration<double>(Passed).count();
-  Level_ += Seconds * Rate * std::min(Fraction, LastFraction_);
-  Level_ = std::clamp(Level_, 0.0, std::max(0.0, Fraction * Burst));
-  LastFraction_ = std::max(0.0, Fraction);
+  Level_ += Seconds * Rate * std::min(RateFraction, LastFraction_);
+  Level_ = std::clamp(Level_, 0.0, std::max(0.0, Capacity));
+  LastFraction_ = std::max(0.0, RateFraction);
   Updated_ = std::max(Updated_, Now);
+  ValidUntil_ = ValidUntil;
 }
 
 } // namespace detail
--- a/src/engine/team_limits_broker.cpp
+++ b/src/engine/team_limits_broker.cpp
@@ -52,8 +52,8 @@
   for (auto &[Name, Team] : Teams_)
     if (Team.Shard_ == Message.Shard_)
       advancePool(Now, Team);
-  Held = {Message.Fraction_, Message.Stamp_ + scaled(Message.Term_, Settings_.BorrowerPart_),
-          Message.Stamp_};
+  Held = {Message.Fraction_, Message.Fraction_,
+          Message.Stamp_ + scaled(Message.Term_, Settings_.BorrowerPart_), Message.Stamp_};
   if (Message.Fraction_ > 0) {
     std::uint32_t &Count = OwnersCount_[From];
     Count = std::max(Count, static_cast<std::uint32_t>(1.0 / Message.Fraction_ + 1e-6));
@@ -73,13 +73,29 @@
 
 double TeamLimits::poolFraction(TimePoint Now, const detail::TeamState &Team, TimePoint Time) {
   double Sum = ownedFraction(Now, Team, Time);
-  if (Sum <= 0 && !poolUsable(Now))
+  if (!poolUsable(Now))
     return 0;
   for (const auto &[Host, Loan] : Team.Bulk_)
     Sum += Loan.Holding_.at(Time);
   return Sum;
 }
 
+double TeamLimits::poolRate(TimePoint Now, const detail::TeamState &Team, TimePoint Time) {
+  if (!poolUsable(Now))
+    return 0;
+  double Sum = ownedFraction(Now, Team, Time);
+  for (const auto &[Host, Loan] : Team.Bulk_)
+    Sum += Loan.Holding_.rateAt(Time);
+  return Sum;
+}
+
+double TeamLimits::lentRate(TimePoint Now, detail::TeamState &Team) {
+  double Sum = 0;
+  for (auto &[Key, Record] : Team.Lent_)
+    Sum += Record.rateExposure(Now);
+  return Sum;
+}
+
 double TeamLimits::lentFraction(TimePoint Now, detail::TeamState &Team) {
   double Sum = 0;
   for (auto &[Key, Record] : Team.Lent_)
@@ -87,9 +103,29 @@
   return Sum;
 }
 
+TimePoint TeamLimits::poolEnd(TimePoint Now, const detail::TeamState &Team) const {
+  TimePoint Result = TimePoint::max();
+  const auto Consider = [&](const detail::Holding &Held) {
+    if (Held.at(Now) > 0)
+      Result = std::min(Result, Held.End_);
+  };
+  for (const auto &[Host, Held] : Shards_[Team.Shard_].Owners_)
+    Consider(Held);
+  for (const auto &[Host, Loan] : Team.Bulk_)
+    Consider(Loan.Holding_);
+  return Result;
+}
+
+Duration TeamLimits::termOf(const LeaseRequest &Request) const {
+  if (Request.Bulk_)
+    return Request.Spot_ ? Settings_.SpotBulkTerm_ : Settings_.BulkTerm_;
+  return Request.Spot_ ? Settings_.SpotTerm_ : Settings_.LeaseTerm_;
+}
+
 void TeamLimits::advancePool(TimePoint Now, detail::TeamState &Team) {
-  const double Free = std::max(0.0, poolFraction(Now, Team, Now) - lentFraction(Now, Team));
-  Team.Pool_.advance(Now, Free, Team.Rate_, Team.Burst_);
+  const double Free = poolFraction(Now, Team, Now) - lentFraction(Now, Team);
+  const double Rate = poolRate(Now, Team, Now) - lentRate(Now, Team);
+  Team.Pool_.advance(Now, Rate, Team.Rate_, Free * Team.Burst_, poolEnd(Now, Team));
 }
 
 void TeamLimits::on(TimePoint Now, const HostId &From, const LeaseRequest &Message) {
@@ -118,38 +154,47 @@
 // Returns false if the answer should wait for a bulk loan.
 bool TeamLimits::grant(TimePoint Now, detail::TeamState &Team, const HostId &To,
                        const LeaseRequest &Request, bool MayWait) {
-  const Duration Term = Request.Bulk_ ? Settings_.BulkTerm_ : Settings_.LeaseTerm_;
+  const Duration Term = termOf(Request);
   advancePool(Now, Team);
   detail::LoanRecord &Record = Team.Lent_[{To, Request.Bulk_}];
   const double Old = Record.exposure(Now);
   const double LentToOthers = lentFraction(Now, Team) - Old;
   // Bulk loans are granted from owners' loans only, so that no loan returns to its lender.
-  // Free today and at the end of the term: loans behind the pool may end in between.
+  // What is free at the end of the term is free until then: loans behind the pool only end.
   const double Until =
       Request.Bulk_ ? ownedFraction(Now, Team, Now + Term) : poolFraction(Now, Team, Now + Term);
-  const double Free = std::max(0.0, Until - LentToOthers);
+  const double RateUntil = Request.Bulk_ ? Until : poolRate(Now, Team, Now + Term);
+  const double RateFree = RateUntil - (lentRate(Now, Team) - Record.rateExposure(Now));
+  const double Free = Until - LentToOthers;
   double Wanted = Request.Wanted_, Total = 0;
   for (const auto &[Host, Fraction] : Team.Wanted_)
     Total += Fraction;
-  if (!Request.Bulk_ && Total > Until && Total > 0)
-    Wanted = std::min(Wanted, Until * Wanted / Total);
-  const double Fraction = std::min(Wanted, Free);
+  if (Request.Bulk_ && !Request.Spot_)
+    Wanted = std::min(Wanted, std::max(0.0, Until - Total));
+  else if (!Request.Bulk_ && !Request.Spot_ && Total > RateUntil && Total > 0)
+    Wanted = std::min(Wanted, RateUntil * Wanted / Total);
+  double Fraction = std::max(0.0, std::min(Wanted, Free));
+  if (!Request.Spot_)
+    Fraction = std::max(0.0, std::min(Fraction, RateFree));
+  // A spot loan takes at most half of the tokens that the lender's own consumers may need.
+  if (Request.Bulk_ && Request.Spot_ && Team.Burst_ > 0)
+    Fraction = std::min(Fraction, Team.Pool_.Level_ / 2 / Team.Burst_);
   const double PoolCap =
       std::max(0.0, Until - LentToOthers - std::max(Old, Fraction)) * Team.Burst_;
   const double Room = std::max(0.0, Fraction * Team.Burst_ - Request.LevelBound_);
   // Tokens above the pool's remaining capacity would be lost, so they go along.
-  const double Tokens = std::min(
-      {std::max(Request.TokensWanted_, Team.Pool_.Level_ - PoolCap), Team.Pool_.Level_, Room});
+  const double Spare = Request.Spot_ ? 0 : Team.Pool_.Level_ - PoolCap;
+  const double Tokens = std::min({std::max(Request.TokensWanted_, Spare), Team.Pool_.Level_, Room});
   const bool Short = Fraction < Request.Wanted_ * 0.9 || Tokens < Request.TokensWanted_ * 0.9;
   Team.TokensMissing_ = Short ? std::max(0.0, Request.TokensWanted_ - Tokens) : 0;
   if (Short && MayWait && !Shards_[Team.Shard_].OtherBrokers_.empty())
     return false;
-  Record.add(Fraction, Now + Term);
+  Record.add(Fraction, Request.Spot_ ? 0 : Fraction, Now + Term);
   Record.GrantStamp_ = Request.Stamp_;
   Team.Pool_.Level_ -= Tokens;
   advancePool(Now, Team);
   send(To, LeaseGrant{Request.Team_, Run_, Request.Incarnation_, Request.Stamp_, Fraction, Tokens,
-                      Term, Request.Bulk_});
+                      Term, Request.Bulk_, Request.Spot_});
   return true;
 }
 
@@ -160,26 +205,33 @@
   double Wanted = 0;
   for (const auto &[Host, Fraction] : Team.Wanted_)
     Wanted += Fraction;
-  const double Missing = std::min(1.0, Wanted) - ownedFraction(Now, Team, Now);
-  if (Missing <= 0 && Team.TokensMissing_ <= 0)
+  const double Owned = ownedFraction(Now, Team, Now);
+  const double Missing = std::min(1.0, Wanted) - Owned;
+  const bool Long = Missing > 0.1 * Owned;
+  if (!Long && Team.TokensMissing_ <= 0)
     return;
-  advancePool(Now, Team);
   const auto Parts = static_cast<double>(Shard.OtherBrokers_.size());
   for (const HostId &Host : Shard.OtherBrokers_) {
     detail::Borrowing &Loan = Team.Bulk_[Host];
-    if (Loan.Pending_ || Now < Loan.Asked_ + Settings_.LeaseRenewal_ / 8)
+    const double Held = Loan.Holding_.at(Now);
+    if (Loan.Pending_ || Now < Loan.Asked_ + std::chrono::milliseconds(25))
       continue;
     LeaseRequest Request;
     Request.Team_ = Name;
     Request.Incarnation_ = Run_;
     Request.Stamp_ = Now;
     Request.Bulk_ = true;
-    Request.Wanted_ = std::max(Missing, 0.05) / Parts;
-    Request.TokensWanted_ = Request.Wanted_ * Team.Burst_;
+    Request.Spot_ = !Long;
     // Leases granted on the loan may hold its full burst, so a renewal brings tokens only for the
     // fraction that it adds.
-    Request.LevelBound_ = Loan.Holding_.at(Now) * Team.Burst_;
-    Request.TokensWanted_ = std::max(0.0, Request.TokensWanted_ - Request.LevelBound_);
+    Request.LevelBound_ = Held * Team.Burst_;
+    if (Long) {
+      Request.Wanted_ = Missing / Parts;
+      Request.TokensWanted_ = std::max(0.0, Request.Wanted_ * Team.Burst_ - Request.LevelBound_);
+    } else {
+      Request.TokensWanted_ = Team.TokensMissing_ / Parts + 1;
+      Request.Wanted_ = Team.Burst_ > 0 ? Held + Request.TokensWanted_ / Team.Burst_ : 0;
+    }
     Loan.Pending_ = true;
     Loan.Asked_ = Now;
     send(Host, Request);
--- a/src/engine/team_limits_consumer.cpp
+++ b/src/engine/team_limits_consumer.cpp
@@ -25,8 +25,20 @@
   return Sum;
 }
 
+double TeamLimits::leasedRate(TimePoint Now, const detail::TeamState &Team) const {
+  double Sum = 0;
+  for (const auto &[Host, Lease] : Team.Leases_)
+    Sum += Lease.Holding_.rateAt(Now);
+  return Sum;
+}
+
 void TeamLimits::advanceBucket(TimePoint Now, detail::TeamState &Team) {
-  Team.Bucket_.advance(Now, leased(Now, Team), Team.Rate_, Team.Burst_);
+  TimePoint End = TimePoint::max();
+  for (const auto &[Host, Lease] : Team.Leases_)
+    if (Lease.Holding_.at(Now) > 0)
+      End = std::min(End, Lease.Holding_.End_);
+  Team.Bucket_.advance(Now, leasedRate(Now, Team), Team.Rate_, leased(Now, Team) * Team.Burst_,
+                       End);
   // Together with the tokens that an answer may bring, the level stays inside the lease.
   for (const auto &[Host, Lease] : Team.Leases_)
     if (Lease.Pending_)
@@ -46,7 +58,7 @@
     Team.Bucket_.Level_ -= 1;
     return LimitDecision::Admitted;
   }
-  const double Soon = leased(Now, Team) * Team.Rate_ * HoldSeconds + Team.Bucket_.Level_;
+  const double Soon = leasedRate(Now, Team) * Team.Rate_ * HoldSeconds + Team.Bucket_.Level_;
   if (Now < Team.EmptyUntil_ && Soon < Team.Missed_ + 1)
     return LimitDecision::Refuse;
   ++Team.Missed_;
@@ -75,17 +87,23 @@
   Request.Incarnation_ = Run_;
   Request.Stamp_ = Now;
   const double Expected = Team.Demand_ * LeaseAhead;
-  Request.TokensWanted_ = Team.Missed_ + 1 + Expected * 0.2;
+  const double ByRate = Team.Rate_ > 0 ? Expected / Team.Rate_ : 0;
+  // A long lease is kept until its depth is clearly too small.
+  const double Depth = Settings_.LeaseDepth_ * (leasedRate(Now, Team) > 0 ? 0.7 : 1.0);
+  Request.Spot_ = ByRate * Team.Burst_ < Depth;
+  const double Ahead = Request.Spot_ ? std::floor(Team.Demand_ * 0.05) : 1 + Expected * 0.1;
+  Request.TokensWanted_ = std::max(0.0, Team.Missed_ + Ahead - Team.Bucket_.Level_);
   // Room for what accrues until the answer arrives.
   Request.LevelBound_ = Team.Bucket_.Level_ + Team.Bucket_.LastFraction_ * Team.Rate_ * 0.01;
-  const double ByRate = Team.Rate_ > 0 ? Expected / Team.Rate_ : 0;
   const double ByBurst =
       Team.Burst_ > 0 ? (Request.TokensWanted_ + Request.LevelBound_) / Team.Burst_ : 0;
-  Request.Wanted_ = std::min(1.0, std::max(ByRate, ByBurst));
+  Request.Wanted_ = std::min(1.0, Request.Spot_ ? ByBurst : std::max(ByRate, ByBurst));
   Lease.Pending_ = true;
   Lease.Asked_ = Now;
   Lease.LevelBound_ = Request.LevelBound_;
-  Team.NextLease_ = Now + Settings_.LeaseRenewal_;
+  Lease.TokensWanted_ = Request.TokensWanted_;
+  // Spot leases are not renewed; the next request without a token asks again.
+  Team.NextLease_ = Request.Spot_ ? TimePoint::max() : Now + Settings_.LeaseRenewal_;
   send(Lender, std::move(Request));
 }
 
@@ -108,7 +126,7 @@
   detail::Borrowing &Loan = Found->second;
   Loan.Pending_ = false;
   Loan.Unanswered_ = 0;
-  Loan.Holding_ = {Message.Fraction_,
+  Loan.Holding_ = {Message.Fraction_, Message.Spot_ ? 0 : Message.Fraction_,
                    Message.Stamp_ + scaled(Message.Term_, Settings_.BorrowerPart_), Message.Stamp_};
   const bool Valid = Now < Loan.Holding_.End_;
   if (Message.Bulk_) {
@@ -124,7 +142,7 @@
   advanceBucket(Now, Team);
   if (Team.Missed_ == 0)
     return;
-  if (Team.Bucket_.Level_ < Team.Missed_)
+  if (Message.Tokens_ < Loan.TokensWanted_ * 0.9)
     Team.EmptyUntil_ = Now + std::chrono::milliseconds(50);
   if (Team.Bucket_.Level_ >= 1) {
     Team.Missed_ = 0;
@@ -163,7 +181,9 @@
   }
   if (Pending)
     return;
-  if (Now >= Team.LastCall_ + Settings_.IdleReturn_) {
+  // At eight times the usual gap a pause is hardly chance.
+  const Duration Gap = scaled(std::chrono::seconds(8), 1 / std::max(Team.Demand_, 1.0));
+  if (Now >= Team.LastCall_ + std::max(Settings_.IdleReturn_, Gap)) {
     Team.Missed_ = 0;
     returnLeases(Now, Name, Team);
     return;
--- a/src/engine/team_limits_owner.cpp
+++ b/src/engine/team_limits_owner.cpp
@@ -34,7 +34,7 @@
     if (Host != Self_ && Listed_.count(Host) == 0)
       RetireAt_.emplace(Host, Now + Settings_.RetireTerm_);
   if (JoinComplete_ && ownShare() < OldShare)
-    OwnUsed_.add(OldShare, Now + std::max(Settings_.LeaseTerm_, Settings_.BulkTerm_));
+    OwnUsed_.add(OldShare, OldShare, Now + std::max(Settings_.LeaseTerm_, Settings_.BulkTerm_));
   placeBrokers();
   sendJoins(Now);
   drainLocal(Now);
@@ -147,7 +147,7 @@
   if (Listed_.count(From) == 0)
     RetireAt_[From] = Now + Settings_.RetireTerm_;
   if (JoinComplete_ && ownShare() < OldShare)
-    OwnUsed_.add(OldShare, Now + std::max(Settings_.LeaseTerm_, Settings_.BulkTerm_));
+    OwnUsed_.add(OldShare, OldShare, Now + std::max(Settings_.LeaseTerm_, Settings_.BulkTerm_));
   JoinAnswer Answer;
   Answer.ToIncarnation_ = Message.Incarnation_;
   Answer.Active_ = JoinComplete_;
@@ -217,7 +217,7 @@
   Shard.Borrower_ = From;
   Shard.Lent_.Borrower_ = Message.Incarnation_;
   Shard.Lent_.LastStamp_ = Message.Stamp_;
-  Shard.Lent_.add(ownShare(), Now + Settings_.OwnerTerm_);
+  Shard.Lent_.add(ownShare(), ownShare(), Now + Settings_.OwnerTerm_);
   for (auto &[Name, Team] : Teams_)
     if (Team.Shard_ == Message.Shard_)
       advancePool(Now, Team);
