Bound spot bulk loans in team limits

Cause: brokers that borrowed room for tokens for long locked each other's pools. Change: room for tokens is lent for 250 ms only, and a retry is no new demand.

--- a/include/bronzestand/team_limits.h
+++ b/include/bronzestand/team_limits.h
@@ -30,7 +30,7 @@
   Duration BulkTerm_ = std::chrono::seconds(2);
   Duration BulkRenewal_ = std::chrono::milliseconds(500);
   /// Terms of leases and bulk loans that carry tokens for requests held now, and little more.
-  Duration SpotTerm_ = std::chrono::milliseconds(120);
+  Duration SpotTerm_ = std::chrono::milliseconds(80);
   Duration SpotBulkTerm_ = std::chrono::milliseconds(250);
   /// A lease shallower than this many requests is replaced by spot leases, because normal
   /// variation of the demand would empty it while the pool still has tokens.
@@ -84,22 +84,24 @@
   TeamId Team_;
   Incarnation Incarnation_ = 0;
   TimePoint Stamp_;
-  double Wanted_ = 0;       ///< fraction of the team's rate and burst
+  double Demand_ = 0;       ///< calls at the sender, as a fraction of the team's rate
+  double RateWanted_ = 0;   ///< fraction of the team's rate
+  double Wanted_ = 0;       ///< fraction of the team's burst
   double TokensWanted_ = 0; ///< requests
   double LevelBound_ = 0;   ///< the sender's level stays at or below this until the answer
   bool Bulk_ = false;
-  bool Spot_ = false;
+  bool Spot_ = false; ///< for requests held now: short term, no accrual
 };
 struct LeaseGrant {
   TeamId Team_;
   Incarnation Incarnation_ = 0;
   Incarnation ToIncarnation_ = 0;
   TimePoint Stamp_;
-  double Fraction_ = 0;
+  double Fraction_ = 0; ///< of the burst
+  double Rate_ = 0;     ///< of the rate
   double Tokens_ = 0;
   Duration Term_{};
   bool Bulk_ = false;
-  bool Spot_ = false; ///< the fraction gives room for tokens but no accrual
 };
 /// Ends all leases of a team from one lender, with the tokens left.
 struct LeaseReturn {
@@ -142,7 +144,7 @@
 class TeamLimitStrategy {
 public:
   virtual ~TeamLimitStrategy() = default;
-  virtual LimitDecision admit(TimePoint Now, const TeamId &Team) = 0;
+  virtual LimitDecision admit(TimePoint Now, const TeamId &Team, bool Retried = false) = 0;
   virtual void handle(TimePoint Now, const HostId &From, const LimitMessage &Message) = 0;
   virtual void tick(TimePoint Now) = 0;
   virtual void setHosts(TimePoint Now, const std::vector<LimitHost> &Hosts) = 0;
@@ -198,7 +200,8 @@
 /// Borrower side of leases from one lender; at most one request is outstanding.
 struct Borrowing {
   Holding Holding_;
-  bool Pending_ = false;
+  bool Pending_ = false, Short_ = false;
+  double RateWanted_ = 0;
   std::uint32_t Unanswered_ = 0;
   double LevelBound_ = 0, TokensWanted_ = 0;
   TimePoint Asked_{};
@@ -219,14 +222,13 @@
   std::map<HostId, Borrowing> Leases_;
   double Demand_ = 0; ///< calls per second, smoothed
   std::uint32_t Missed_ = 0;
-  TimePoint LastCall_{}, EmptyUntil_{}, NextLease_{};
+  TimePoint FirstCall_{}, LastCall_{}, EmptyUntil_{}, NextLease_{};
   // Broker role.
   Bucket Pool_;
   std::map<std::pair<HostId, bool>, LoanRecord> Lent_;
-  std::map<HostId, double> Wanted_;
+  std::map<HostId, std::pair<double, TimePoint>> Wanted_; ///< demand and when it was reported
   std::map<HostId, Borrowing> Bulk_;
   std::vector<WaitingRequest> Waiting_;
-  double TokensMissing_ = 0;
   TimePoint NextBulk_{};
 };
 
@@ -252,8 +254,10 @@
              LimitSettings Settings = {});
 
   /// Decides on one request. A held request is retried after LimitReady and refused by the caller
-  /// of this function after 50 ms. Cost: logarithmic in the number of teams.
-  LimitDecision admit(TimePoint Now, const TeamId &Team) override;
+  /// of this function after 50 ms.
+  /// \param Retried the request was held before, so it isn't new demand.
+  /// Cost: logarithmic in the number of teams.
+  LimitDecision admit(TimePoint Now, const TeamId &Team, bool Retried = false) override;
   void handle(TimePoint Now, const HostId &From, const LimitMessage &Message) override;
   /// To be called about every 10 ms.
   void tick(TimePoint Now) override;
@@ -299,6 +303,7 @@
   double lentFraction(TimePoint Now, detail::TeamState &Team);
   double lentRate(TimePoint Now, detail::TeamState &Team);
   TimePoint poolEnd(TimePoint Now, const detail::TeamState &Team) const;
+  static double wantedTotal(const detail::TeamState &Team);
   Duration termOf(const LeaseRequest &Request) const;
   void advancePool(TimePoint Now, detail::TeamState &Team);
   bool grant(TimePoint Now, detail::TeamState &Team, const HostId &To, const LeaseRequest &Request,
@@ -309,6 +314,7 @@
 
   // Consumer role: team_limits_consumer.cpp.
   double leased(TimePoint Now, const detail::TeamState &Team) const;
+  static double demand(TimePoint Now, const detail::TeamState &Team);
   double leasedRate(TimePoint Now, const detail::TeamState &Team) const;
   void advanceBucket(TimePoint Now, detail::TeamState &Team);
   void askLease(TimePoint Now, const TeamId &Name, detail::TeamState &Team);
--- a/src/engine/team_limits_broker.cpp
+++ b/src/engine/team_limits_broker.cpp
@@ -116,6 +116,13 @@
   return Result;
 }
 
+double TeamLimits::wantedTotal(const detail::TeamState &Team) {
+  double Sum = 0;
+  for (const auto &[Host, Wanted] : Team.Wanted_)
+    Sum += Wanted.first;
+  return Sum;
+}
+
 Duration TeamLimits::termOf(const LeaseRequest &Request) const {
   if (Request.Bulk_)
     return Request.Spot_ ? Settings_.SpotBulkTerm_ : Settings_.BulkTerm_;
@@ -144,7 +151,7 @@
   Record.Borrower_ = Message.Incarnation_;
   Record.LastStamp_ = Message.Stamp_;
   if (!Message.Bulk_)
-    Team.Wanted_[From] = Message.Wanted_;
+    Team.Wanted_[From] = {Message.Demand_, Now};
   if (grant(Now, Team, From, Message, !Message.Bulk_))
     return;
   Team.Waiting_.push_back({From, Message, Now + Settings_.BulkWait_});
@@ -166,35 +173,32 @@
   const double RateUntil = Request.Bulk_ ? Until : poolRate(Now, Team, Now + Term);
   const double RateFree = RateUntil - (lentRate(Now, Team) - Record.rateExposure(Now));
   const double Free = Until - LentToOthers;
-  double Wanted = Request.Wanted_, Total = 0;
-  for (const auto &[Host, Fraction] : Team.Wanted_)
-    Total += Fraction;
-  if (Request.Bulk_ && !Request.Spot_)
-    Wanted = std::min(Wanted, std::max(0.0, Until - Total));
-  else if (!Request.Bulk_ && !Request.Spot_ && Total > RateUntil && Total > 0)
-    Wanted = std::min(Wanted, RateUntil * Wanted / Total);
-  double Fraction = std::max(0.0, std::min(Wanted, Free));
-  if (!Request.Spot_)
-    Fraction = std::max(0.0, std::min(Fraction, RateFree));
-  // A spot loan takes at most half of the tokens that the lender's own consumers may need.
-  if (Request.Bulk_ && Request.Spot_ && Team.Burst_ > 0)
-    Fraction = std::min(Fraction, Team.Pool_.Level_ / 2 / Team.Burst_);
+  const double Total = wantedTotal(Team);
+  double Rate = Request.RateWanted_;
+  if (Request.Bulk_)
+    Rate = std::min(Rate, Until - Total);
+  else if (Total > RateUntil)
+    Rate = std::min(Rate, RateUntil * Request.Demand_ / Total);
+  Rate = std::max(0.0, std::min(Rate, RateFree));
+  double Fraction = std::max(0.0, std::min(Request.Wanted_, Free));
+  // A spot loan takes at most half of the tokens that local consumers may need.
+  if (Request.Bulk_ && Team.Burst_ > 0)
+    Fraction = std::min(Fraction, Request.Spot_ ? Team.Pool_.Level_ / 2 / Team.Burst_ : Rate);
   const double PoolCap =
       std::max(0.0, Until - LentToOthers - std::max(Old, Fraction)) * Team.Burst_;
   const double Room = std::max(0.0, Fraction * Team.Burst_ - Request.LevelBound_);
   // Tokens above the pool's remaining capacity would be lost, so they go along.
   const double Spare = Request.Spot_ ? 0 : Team.Pool_.Level_ - PoolCap;
   const double Tokens = std::min({std::max(Request.TokensWanted_, Spare), Team.Pool_.Level_, Room});
-  const bool Short = Fraction < Request.Wanted_ * 0.9 || Tokens < Request.TokensWanted_ * 0.9;
-  Team.TokensMissing_ = Short ? std::max(0.0, Request.TokensWanted_ - Tokens) : 0;
+  const bool Short = Rate < Request.RateWanted_ * 0.9 || Tokens < Request.TokensWanted_ * 0.9;
   if (Short && MayWait && !Shards_[Team.Shard_].OtherBrokers_.empty())
     return false;
-  Record.add(Fraction, Request.Spot_ ? 0 : Fraction, Now + Term);
+  Record.add(Fraction, Rate, Now + Term);
   Record.GrantStamp_ = Request.Stamp_;
   Team.Pool_.Level_ -= Tokens;
   advancePool(Now, Team);
-  send(To, LeaseGrant{Request.Team_, Run_, Request.Incarnation_, Request.Stamp_, Fraction, Tokens,
-                      Term, Request.Bulk_, Request.Spot_});
+  send(To, LeaseGrant{Request.Team_, Run_, Request.Incarnation_, Request.Stamp_, Fraction, Rate,
+                      Tokens, Term, Request.Bulk_});
   return true;
 }
 
@@ -202,18 +206,25 @@
   const detail::ShardState &Shard = Shards_[Team.Shard_];
   if (Shard.OtherBrokers_.empty() || Shard.LocalBroker_ != Self_ || Leaving_)
     return;
-  double Wanted = 0;
-  for (const auto &[Host, Fraction] : Team.Wanted_)
-    Wanted += Fraction;
+  advancePool(Now, Team);
   const double Owned = ownedFraction(Now, Team, Now);
-  const double Missing = std::min(1.0, Wanted) - Owned;
-  const bool Long = Missing > 0.1 * Owned;
-  if (!Long && Team.TokensMissing_ <= 0)
+  // Demand is reported ahead of what was measured; the part ahead is not worth a bulk loan.
+  double Missing = std::min(1.0, wantedTotal(Team)) - Owned;
+  if (Missing < 0.3 * Owned)
+    Missing = 0;
+  double TokensMissing = -Team.Pool_.Level_, Held = 0;
+  for (const detail::WaitingRequest &Entry : Team.Waiting_)
+    TokensMissing += Entry.Request_.TokensWanted_;
+  if ((Missing <= 0 && TokensMissing <= 0) || Team.Burst_ <= 0)
     return;
-  const auto Parts = static_cast<double>(Shard.OtherBrokers_.size());
+  std::size_t Parts = 0;
+  for (const HostId &Host : Shard.OtherBrokers_) {
+    const detail::Borrowing &Loan = Team.Bulk_[Host];
+    Held += Loan.Holding_.rateAt(Now);
+    Parts += Loan.Short_ ? 0 : 1;
+  }
   for (const HostId &Host : Shard.OtherBrokers_) {
     detail::Borrowing &Loan = Team.Bulk_[Host];
-    const double Held = Loan.Holding_.at(Now);
     if (Loan.Pending_ || Now < Loan.Asked_ + std::chrono::milliseconds(25))
       continue;
     LeaseRequest Request;
@@ -221,19 +232,33 @@
     Request.Incarnation_ = Run_;
     Request.Stamp_ = Now;
     Request.Bulk_ = true;
-    Request.Spot_ = !Long;
+    // What one lender lacks is asked of those that gave all they were asked for.
+    const double Share = (Missing - Held) / static_cast<double>(std::max<std::size_t>(1, Parts));
+    const double Present = Loan.Holding_.rateAt(Now);
+    Request.RateWanted_ = std::max(0.0, Loan.Short_ && Parts > 0 ? Present : Present + Share);
+    // A lender without a rate to spare may still have tokens.
+    if (Loan.Short_ && Present <= 0 && TokensMissing > 0)
+      Request.RateWanted_ = 0;
+    Request.Spot_ = Request.RateWanted_ <= 0;
     // Leases granted on the loan may hold its full burst, so a renewal brings tokens only for the
     // fraction that it adds.
-    Request.LevelBound_ = Held * Team.Burst_;
-    if (Long) {
-      Request.Wanted_ = Missing / Parts;
-      Request.TokensWanted_ = std::max(0.0, Request.Wanted_ * Team.Burst_ - Request.LevelBound_);
-    } else {
-      Request.TokensWanted_ = Team.TokensMissing_ / Parts + 1;
-      Request.Wanted_ = Team.Burst_ > 0 ? Held + Request.TokensWanted_ / Team.Burst_ : 0;
-    }
+    const double Room = Loan.Holding_.at(Now);
+    // Repeated spot loans would add up to the lender's whole room.
+    if (Request.Spot_ && Room > 0)
+      continue;
+    Request.LevelBound_ = Room * Team.Burst_;
+    if (TokensMissing > 0)
+      Request.TokensWanted_ = TokensMissing / static_cast<double>(Shard.OtherBrokers_.size()) + 1;
+    // Room for tokens is borrowed for a short time only: brokers that all did so for long would
+    // lock each other's pools.
+    Request.Wanted_ = Request.RateWanted_;
+    if (Request.Spot_ && TokensMissing > 0)
+      Request.Wanted_ = Room + Request.TokensWanted_ / Team.Burst_;
+    if (Request.Wanted_ <= 0)
+      continue;
     Loan.Pending_ = true;
     Loan.Asked_ = Now;
+    Loan.RateWanted_ = Request.RateWanted_;
     send(Host, Request);
   }
 }
@@ -269,7 +294,7 @@
 void TeamLimits::tickBroker(TimePoint Now, const TeamId &Name, detail::TeamState &Team) {
   advancePool(Now, Team);
   for (auto It = Team.Wanted_.begin(); It != Team.Wanted_.end();)
-    It = Team.Lent_[{It->first, false}].end() < Now ? Team.Wanted_.erase(It) : std::next(It);
+    It = It->second.second + Settings_.LeaseTerm_ < Now ? Team.Wanted_.erase(It) : std::next(It);
   bool Pending = false;
   for (auto &[Host, Loan] : Team.Bulk_) {
     if (Loan.Pending_ && Now >= Loan.Asked_ + Settings_.AnswerTimeout_)
@@ -280,6 +305,8 @@
     answerWaiting(Now, Team, !Pending);
   if (!Team.Wanted_.empty() && Now >= Team.NextBulk_) {
     Team.NextBulk_ = Now + Settings_.BulkRenewal_;
+    for (auto &[Host, Loan] : Team.Bulk_)
+      Loan.Short_ = false;
     askBulk(Now, Name, Team);
   }
   // Bulk loans without demand are returned once no lease stands on them.
--- a/src/engine/team_limits_consumer.cpp
+++ b/src/engine/team_limits_consumer.cpp
@@ -45,14 +45,23 @@
       Team.Bucket_.Level_ = std::min(Team.Bucket_.Level_, Lease.LevelBound_);
 }
 
-LimitDecision TeamLimits::admit(TimePoint Now, const TeamId &Name) {
+// Calls per second, corrected for the short time since the first call.
+double TeamLimits::demand(TimePoint Now, const detail::TeamState &Team) {
+  const double Age = std::chrono::duration<double>(Now - Team.FirstCall_).count();
+  return Team.Demand_ / (1 - std::exp(-std::max(Age, 0.1) / DemandSeconds));
+}
+
+LimitDecision TeamLimits::admit(TimePoint Now, const TeamId &Name, bool Retried) {
   const auto It = Teams_.find(Name);
   if (It == Teams_.end() || !It->second.Active_ || Leaving_)
     return LimitDecision::Refuse;
   detail::TeamState &Team = It->second;
   const double Idle = std::chrono::duration<double>(Now - Team.LastCall_).count();
-  Team.Demand_ = Team.Demand_ * std::exp(-Idle / DemandSeconds) + 1.0 / DemandSeconds;
+  Team.Demand_ =
+      Team.Demand_ * std::exp(-Idle / DemandSeconds) + (Retried ? 0 : 1.0 / DemandSeconds);
   Team.LastCall_ = Now;
+  if (Idle > 2 * DemandSeconds)
+    Team.FirstCall_ = Now;
   advanceBucket(Now, Team);
   if (Team.Bucket_.Level_ >= 1) {
     Team.Bucket_.Level_ -= 1;
@@ -86,18 +95,22 @@
   Request.Team_ = Name;
   Request.Incarnation_ = Run_;
   Request.Stamp_ = Now;
-  const double Expected = Team.Demand_ * LeaseAhead;
+  const double Expected = demand(Now, Team) * LeaseAhead;
+  // Requests held longer than 50 ms are gone.
+  Team.Missed_ = std::min(Team.Missed_, static_cast<std::uint32_t>(Expected * 0.1) + 1);
   const double ByRate = Team.Rate_ > 0 ? Expected / Team.Rate_ : 0;
   // A long lease is kept until its depth is clearly too small.
   const double Depth = Settings_.LeaseDepth_ * (leasedRate(Now, Team) > 0 ? 0.7 : 1.0);
   Request.Spot_ = ByRate * Team.Burst_ < Depth;
-  const double Ahead = Request.Spot_ ? std::floor(Team.Demand_ * 0.05) : 1 + Expected * 0.1;
+  const double Ahead = Request.Spot_ ? std::floor(Expected * 0.04) : 1 + Expected * 0.1;
   Request.TokensWanted_ = std::max(0.0, Team.Missed_ + Ahead - Team.Bucket_.Level_);
   // Room for what accrues until the answer arrives.
   Request.LevelBound_ = Team.Bucket_.Level_ + Team.Bucket_.LastFraction_ * Team.Rate_ * 0.01;
   const double ByBurst =
       Team.Burst_ > 0 ? (Request.TokensWanted_ + Request.LevelBound_) / Team.Burst_ : 0;
-  Request.Wanted_ = std::min(1.0, Request.Spot_ ? ByBurst : std::max(ByRate, ByBurst));
+  Request.Demand_ = ByRate;
+  Request.RateWanted_ = Request.Spot_ ? 0 : std::min(1.0, ByRate);
+  Request.Wanted_ = std::min(1.0, std::max(Request.RateWanted_, ByBurst));
   Lease.Pending_ = true;
   Lease.Asked_ = Now;
   Lease.LevelBound_ = Request.LevelBound_;
@@ -126,7 +139,9 @@
   detail::Borrowing &Loan = Found->second;
   Loan.Pending_ = false;
   Loan.Unanswered_ = 0;
-  Loan.Holding_ = {Message.Fraction_, Message.Spot_ ? 0 : Message.Fraction_,
+  if (Loan.RateWanted_ > 0)
+    Loan.Short_ = Message.Rate_ < Loan.RateWanted_ * 0.9;
+  Loan.Holding_ = {Message.Fraction_, Message.Rate_,
                    Message.Stamp_ + scaled(Message.Term_, Settings_.BorrowerPart_), Message.Stamp_};
   const bool Valid = Now < Loan.Holding_.End_;
   if (Message.Bulk_) {
@@ -142,8 +157,8 @@
   advanceBucket(Now, Team);
   if (Team.Missed_ == 0)
     return;
-  if (Message.Tokens_ < Loan.TokensWanted_ * 0.9)
-    Team.EmptyUntil_ = Now + std::chrono::milliseconds(50);
+  if (Message.Tokens_ < std::min(1.0, Loan.TokensWanted_))
+    Team.EmptyUntil_ = Now + std::chrono::milliseconds(20);
   if (Team.Bucket_.Level_ >= 1) {
     Team.Missed_ = 0;
     Effects_.emplace_back(LimitReady{Message.Team_});
