--- a/include/bronzestand/team_limits.h
+++ b/include/bronzestand/team_limits.h
@@ -201,7 +201,7 @@
 struct Borrowing {
   Holding Holding_;
   bool Pending_ = false, Short_ = false;
-  double RateWanted_ = 0;
+  double RateWanted_ = 0, Granted_ = 0;
   std::uint32_t Unanswered_ = 0;
   double LevelBound_ = 0, TokensWanted_ = 0;
   TimePoint Asked_{};
--- a/src/engine/team_limits_broker.cpp
+++ b/src/engine/team_limits_broker.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <cmath>
 
 #include "bronzestand/team_limits.h"
 
@@ -181,16 +182,31 @@
     Rate = std::min(Rate, RateUntil * Request.Demand_ / Total);
   Rate = std::max(0.0, std::min(Rate, RateFree));
   double Fraction = std::max(0.0, std::min(Request.Wanted_, Free));
-  // A spot loan takes at most half of the tokens that local consumers may need.
-  if (Request.Bulk_ && Team.Burst_ > 0)
-    Fraction = std::min(Fraction, Request.Spot_ ? Team.Pool_.Level_ / 2 / Team.Burst_ : Rate);
-  const double PoolCap =
-      std::max(0.0, Until - LentToOthers - std::max(Old, Fraction)) * Team.Burst_;
-  const double Room = std::max(0.0, Fraction * Team.Burst_ - Request.LevelBound_);
-  // Tokens above the pool's remaining capacity would be lost, so they go along.
-  const double Spare = Request.Spot_ ? 0 : Team.Pool_.Level_ - PoolCap;
-  const double Tokens = std::min({std::max(Request.TokensWanted_, Spare), Team.Pool_.Level_, Room});
-  const bool Short = Rate < Request.RateWanted_ * 0.9 || Tokens < Request.TokensWanted_ * 0.9;
+  double Tokens = 0;
+  if (Request.Spot_ && Team.Burst_ > 0) {
+    // Room without tokens would only lock the pool, so both are granted together. A spot loan to a
+    // broker takes at most half of the tokens that local consumers may need.
+    const double Room = std::max(0.0, Fraction * Team.Burst_ - Request.LevelBound_);
+    Tokens =
+        std::min({Request.TokensWanted_, Team.Pool_.Level_ * (Request.Bulk_ ? 0.5 : 1.0), Room});
+    if (!Request.Bulk_)
+      Tokens = std::floor(Tokens);
+    Fraction = std::min(Fraction, (Tokens + Request.LevelBound_) / Team.Burst_);
+  } else {
+    // In a shortage room is shared like the rate.
+    if (Request.Bulk_)
+      Fraction = std::min(Fraction, Rate);
+    else if (Total > RateUntil)
+      Fraction = std::min(Fraction, Until * Request.Demand_ / Total);
+    const double PoolCap =
+        std::max(0.0, Until - LentToOthers - std::max(Old, Fraction)) * Team.Burst_;
+    const double Room = std::max(0.0, Fraction * Team.Burst_ - Request.LevelBound_);
+    // Tokens above the pool's remaining capacity would be lost, so they go along.
+    Tokens = std::min(
+        {std::max(Request.TokensWanted_, Team.Pool_.Level_ - PoolCap), Team.Pool_.Level_, Room});
+  }
+  const bool Short =
+      Rate < Request.RateWanted_ * 0.9 || Tokens < std::floor(Request.TokensWanted_ * 0.9);
   if (Short && MayWait && !Shards_[Team.Shard_].OtherBrokers_.empty())
     return false;
   Record.add(Fraction, Rate, Now + Term);
--- a/src/engine/team_limits_consumer.cpp
+++ b/src/engine/team_limits_consumer.cpp
@@ -101,9 +101,13 @@
   const double ByRate = Team.Rate_ > 0 ? Expected / Team.Rate_ : 0;
   // A long lease is kept until its depth is clearly too small.
   const double Depth = Settings_.LeaseDepth_ * (leasedRate(Now, Team) > 0 ? 0.7 : 1.0);
-  Request.Spot_ = ByRate * Team.Burst_ < Depth;
-  const double Ahead = Request.Spot_ ? std::floor(Expected * 0.04) : 1 + Expected * 0.1;
+  // What a broker in a shortage grants may be shallower than the demand.
+  const double Rate = Lease.Short_ ? std::min(ByRate, Lease.Granted_) : ByRate;
+  Request.Spot_ = Rate * Team.Burst_ < Depth;
+  const double Ahead = Request.Spot_ ? std::floor(Expected * 0.05) : 1 + Expected * 0.1;
   Request.TokensWanted_ = std::max(0.0, Team.Missed_ + Ahead - Team.Bucket_.Level_);
+  if (Request.Spot_)
+    Request.TokensWanted_ = std::ceil(Request.TokensWanted_);
   // Room for what accrues until the answer arrives.
   Request.LevelBound_ = Team.Bucket_.Level_ + Team.Bucket_.LastFraction_ * Team.Rate_ * 0.01;
   const double ByBurst =
@@ -115,6 +119,7 @@
   Lease.Asked_ = Now;
   Lease.LevelBound_ = Request.LevelBound_;
   Lease.TokensWanted_ = Request.TokensWanted_;
+  Lease.RateWanted_ = Request.RateWanted_;
   // Spot leases are not renewed; the next request without a token asks again.
   Team.NextLease_ = Request.Spot_ ? TimePoint::max() : Now + Settings_.LeaseRenewal_;
   send(Lender, std::move(Request));
@@ -139,8 +144,10 @@
   detail::Borrowing &Loan = Found->second;
   Loan.Pending_ = false;
   Loan.Unanswered_ = 0;
-  if (Loan.RateWanted_ > 0)
+  if (Loan.RateWanted_ > 0) {
+    Loan.Granted_ = Message.Rate_;
     Loan.Short_ = Message.Rate_ < Loan.RateWanted_ * 0.9;
+  }
   Loan.Holding_ = {Message.Fraction_, Message.Rate_,
                    Message.Stamp_ + scaled(Message.Term_, Settings_.BorrowerPart_), Message.Stamp_};
   const bool Valid = Now < Loan.Holding_.End_;
