--- a/include/bronzestand/claims.h
+++ b/include/bronzestand/claims.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <variant>
 #include <vector>
 
@@ -191,7 +192,6 @@
     std::uint64_t BodyHash_ = 0;
     ClaimOwner Owner_;
     TimePoint Granted_;
-    ClaimDigest Key_;
     bool Contested_ = false; ///< handed over with two owners; granted to neither
   };
   struct Slot {
@@ -199,6 +199,7 @@
     Revision Adopted_ = 0; ///< list with which the set came into force here
     Revision Before_ = 0;  ///< list in force before that
     Revision Fenced_ = 0;  ///< no vote on an older list
+    TimePoint AdoptedAt_;
     bool Mine_ = false;
     bool Inherited_ = false;
     TimePoint KnowsFrom_; ///< all later grants, of any set, are known
@@ -215,7 +216,8 @@
   void changeSet(TimePoint Now, Slot &Place, std::vector<HostId> Members, bool WasFresh,
                  Revision Before);
   void requestEntries(TimePoint Now, std::uint32_t Number, std::vector<ClaimSend> &Sends) const;
-  void inherit(Slot &Place) const;
+  TimePoint knowledgeFor(TimePoint Now, const Slot &Place, const HandoverRequest &Message) const;
+  void inherit(TimePoint Now, Slot &Place) const;
   bool adopt(TimePoint Now, const HandoverReply &Reply);
   Duration retention() const { return Settings_.Lifetime_ + Settings_.DispatchWindow_; }
   ClaimVote vote(TimePoint Now, const ClaimRequest &Request);
@@ -325,6 +327,7 @@
   void sendClaim(TimePoint Now, const ClaimDigest &Key, Entry &Current, ClaimEffects &Effects);
   void count(TimePoint Now, const ClaimDigest &Key, Entry &Current, ClaimEffects &Effects);
   void giveUp(const ClaimDigest &Key, ClaimEffects &Effects);
+  void expire(TimePoint Now, ClaimEffects &Effects);
   void release(const ClaimDigest &Key, const Entry &Current, ClaimEffects &Effects) const;
   void resume(Entry &Current, const ClaimDecision &Decision, ClaimEffects &Effects);
   void erase(const ClaimDigest &Key);
@@ -337,6 +340,7 @@
   std::vector<std::vector<HostId>> Sets_;
   Revision List_ = 0;
   Table Entries_;
+  std::unordered_set<ClaimDigest, ClaimDigestHash> Claiming_;
   std::unordered_map<ClaimId, ClaimDigest> KeyOfId_;
   ClaimId LastId_ = 0;
   std::uint64_t LastAttempt_ = 0;
--- a/src/engine/claims_claimant.cpp
+++ b/src/engine/claims_claimant.cpp
@@ -91,6 +91,7 @@
   Current.Redirected_ = Redirected.has_value();
   Current.Begun_ = Now;
   KeyOfId_[Id] = Digest;
+  Claiming_.insert(Digest);
   sendClaim(Now, Digest, Current, Effects);
   return Id;
 }
@@ -127,7 +128,7 @@
       std::find(Current.Members_.begin(), Current.Members_.end(), From) == Current.Members_.end())
     return;
   recordVote(Current.Votes_, From, *Vote);
-  count(Now, Found->first, Current, Effects);
+  count(Now, Vote->Key_, Current, Effects);
 }
 
 void Claimant::count(TimePoint Now, const ClaimDigest &Key, Entry &Current, ClaimEffects &Effects) {
@@ -148,6 +149,7 @@
   const std::size_t Majority = Current.Members_.size() / 2 + 1;
   if (Granted >= Majority) {
     Current.State_ = State::Running;
+    Claiming_.erase(Key);
     Current.Votes_.clear();
     decide(Current.Id_, ClaimDispatch{}, Effects);
   } else if (Current.Members_.size() - Taken < Majority) {
@@ -190,6 +192,7 @@
   const auto Found = Entries_.find(Key);
   Counts_.StoredBytes_ -= storedSize(Found->second.Answer_);
   KeyOfId_.erase(Found->second.Id_);
+  Claiming_.erase(Key);
   Entries_.erase(Found);
 }
 
@@ -234,39 +237,38 @@
 }
 
 void Claimant::tick(TimePoint Now, ClaimEffects &Effects) {
-  const bool IsExpiry = Now >= NextExpiry_;
-  if (IsExpiry)
+  std::vector<ClaimDigest> Ended;
+  for (const ClaimDigest &Key : Claiming_) {
+    Entry &Current = Entries_.at(Key);
+    if (Now - Current.Begun_ > Settings_.Timeout_)
+      Ended.push_back(Key);
+    else if (Now >= Current.NextSend_)
+      sendClaim(Now, Key, Current, Effects);
+  }
+  for (const ClaimDigest &Key : Ended)
+    giveUp(Key, Effects);
+  if (Now >= NextExpiry_) {
     NextExpiry_ = Now + std::chrono::seconds(10);
+    expire(Now, Effects);
+  }
+}
+
+void Claimant::expire(TimePoint Now, ClaimEffects &Effects) {
+  // Longer than a witness keeps its entry, so that the owner is not granted its own key anew.
   const Duration Kept = Settings_.Lifetime_ + 2 * Settings_.DispatchWindow_;
   std::vector<ClaimDigest> Ended;
-  for (auto &[Key, Current] : Entries_) {
-    const Duration Age = Now - Current.Begun_;
-    if (Current.State_ != State::Claiming) {
-      if (IsExpiry && Age > Kept)
-        Ended.push_back(Key);
-    } else if (Age > Settings_.Timeout_) {
+  for (const auto &[Key, Current] : Entries_) {
+    if (Current.State_ != State::Claiming && Now - Current.Begun_ > Kept)
       Ended.push_back(Key);
-    } else if (Now >= Current.NextSend_) {
-      sendClaim(Now, Key, Current, Effects);
-    }
   }
   for (const ClaimDigest &Key : Ended) {
-    Entry &Current = Entries_.at(Key);
-    if (Current.State_ == State::Claiming) {
-      giveUp(Key, Effects);
-    } else {
-      resume(Current, ClaimRefuse{Refusal::OutcomeUnknown}, Effects);
-      erase(Key);
-    }
+    resume(Entries_.at(Key), ClaimRefuse{Refusal::OutcomeUnknown}, Effects);
+    erase(Key);
   }
 }
 
 void Claimant::wakeAfterPause(TimePoint Now, ClaimEffects &Effects) {
-  std::vector<ClaimDigest> Pending;
-  for (const auto &[Key, Current] : Entries_) {
-    if (Current.State_ == State::Claiming)
-      Pending.push_back(Key);
-  }
+  const std::vector<ClaimDigest> Pending(Claiming_.begin(), Claiming_.end());
   for (const ClaimDigest &Key : Pending)
     giveUp(Key, Effects);
   tick(Now, Effects);
--- a/src/engine/claims_witness.cpp
+++ b/src/engine/claims_witness.cpp
@@ -15,6 +15,9 @@
 /// A requester that missed more sets than this falls back to the time rule.
 constexpr std::size_t HistorySize = 16;
 
+/// Time after a change of set in which requests for entries are repeated at every tick.
+constexpr Duration EarlyRequests = std::chrono::seconds(2);
+
 std::size_t majority(std::size_t Count) { return Count / 2 + 1; }
 
 /// Earliest time from which hosts that share a member with every majority of the set know all
@@ -82,7 +85,7 @@
                           Now - Place.KnowsFrom_ < retention();
   if (!Unfinished) {
     Place.Previous_.clear();
-    Place.OwnFrom_ = Place.KnowsFrom_;
+    Place.OwnFrom_ = Place.Mine_ ? Place.KnowsFrom_ : Now + Settings_.Grace_;
     Place.Before_ = Before;
   }
   // A host that was cut off may have missed a set that was active by the time rule.
@@ -100,13 +103,14 @@
   Place.Members_ = std::move(Members);
   Place.Mine_ = contains(Place.Members_, Self_);
   Place.Adopted_ = List_;
+  Place.AdoptedAt_ = Now;
   Place.Inherited_ = false;
   if (Place.Mine_)
     Place.KnowsFrom_ = Now + Settings_.Grace_;
   Place.History_.emplace_back(List_, Place.Members_);
   if (Place.History_.size() > HistorySize)
     Place.History_.erase(Place.History_.begin());
-  inherit(Place);
+  inherit(Now, Place);
 }
 
 void Witness::requestEntries(TimePoint Now, std::uint32_t Number,
@@ -114,11 +118,14 @@
   const Slot &Place = Slots_[Number];
   if (!Place.Mine_ || Place.Inherited_ || Now - Place.KnowsFrom_ >= retention())
     return;
+  // Two hosts that change sets at the same time may each need the other's entries, hence the
+  // repeats; after two seconds only silent hosts are asked again, because tables are large.
+  const bool IsEarly = Now - Place.AdoptedAt_ < EarlyRequests;
   HandoverRequest Request{Number, List_, Own_, Place.Before_, true, Place.Members_};
-  std::vector<HostId> Asked;
+  std::vector<HostId> Asked{Self_};
   for (const auto &Set : Place.Previous_) {
     for (const HostId &Host : Set) {
-      if (Place.FenceFrom_.count(Host) == 0 && !contains(Asked, Host)) {
+      if ((IsEarly || Place.FenceFrom_.count(Host) == 0) && !contains(Asked, Host)) {
         Asked.push_back(Host);
         Sends.push_back({Host, Request});
       }
@@ -126,12 +133,12 @@
   }
   Request.Fence_ = false;
   for (const HostId &Host : Place.Members_) {
-    if (Host != Self_ && Place.SyncFrom_.count(Host) == 0)
+    if (Host != Self_ && (IsEarly || Place.SyncFrom_.count(Host) == 0))
       Sends.push_back({Host, Request});
   }
 }
 
-void Witness::inherit(Slot &Place) const {
+void Witness::inherit(TimePoint Now, Slot &Place) const {
   if (!Place.Mine_ || Place.Inherited_)
     return;
   std::optional<TimePoint> Fenced;
@@ -144,11 +151,13 @@
     Fenced = std::max(Fenced.value_or(*From), *From);
   }
   for (const auto &From : {Fenced, quorumFrom(Place.Members_, Place.SyncFrom_)}) {
-    if (From && *From < Place.KnowsFrom_) {
-      Place.KnowsFrom_ = *From;
-      Place.Inherited_ = true;
-    }
+    if (From)
+      Place.KnowsFrom_ = std::min(Place.KnowsFrom_, *From);
   }
+  // Members that also wait for entries give late times; a better answer may follow from them.
+  Place.Inherited_ =
+      Now - Place.KnowsFrom_ >= retention() ||
+      Place.KnowsFrom_ <= std::min(Place.OwnFrom_ + Settings_.Grace_, Place.AdoptedAt_);
 }
 
 bool Witness::adopt(TimePoint Now, const HandoverReply &Reply) {
@@ -159,7 +168,7 @@
     Entry &Mine = At->second;
     const TimePoint Granted = Now - Given.Age_;
     if (IsNew) {
-      Mine = {Given.BodyHash_, Given.Owner_, Granted, Given.Key_, Given.Contested_};
+      Mine = {Given.BodyHash_, Given.Owner_, Granted, Given.Contested_};
       continue;
     }
     Mine.Granted_ = std::max(Mine.Granted_, Granted);
@@ -219,8 +228,7 @@
   if (Found == Entries_.end()) {
     if (Entries_.size() >= Settings_.MaxEntries_)
       return Vote;
-    Entries_.emplace(Request.Key_,
-                     Entry{Request.BodyHash_, Request.Owner_, Now, Request.Key_, false});
+    Entries_.emplace(Request.Key_, Entry{Request.BodyHash_, Request.Owner_, Now, false});
     Vote.Verdict_ = ClaimVerdict::Granted;
     return Vote;
   }
@@ -259,6 +267,21 @@
   return {};
 }
 
+TimePoint Witness::knowledgeFor(TimePoint Now, const Slot &Place,
+                                const HandoverRequest &Message) const {
+  if (!Message.Fence_)
+    return Place.KnowsFrom_;
+  const TimePoint FromMember = Place.Mine_ ? Place.KnowsFrom_ : Now + Settings_.Grace_;
+  // A host that lags behind the requester's base set does not know what that set inherited.
+  if (List_ < Message.Before_)
+    return Now + Settings_.Grace_;
+  // The requester fences all sets since its base, so that the knowledge at the end of the same or
+  // a later base is enough.
+  if (Place.Adopted_ > Message.Before_ && Message.Before_ <= Place.Before_)
+    return std::min(Place.OwnFrom_, FromMember);
+  return FromMember;
+}
+
 std::vector<ClaimSend> Witness::on(TimePoint Now, const HostId &From,
                                    const HandoverRequest &Message) {
   Slot &Place = Slots_[Message.Slot_ % ClaimSlots];
@@ -270,7 +293,8 @@
     if (Message.Revision_ > List_ &&
         !contains(Place.History_, std::pair(Message.Revision_, Message.Members_)))
       Place.History_.emplace_back(Message.Revision_, Message.Members_);
-  } else if (!Place.Mine_ || Place.Members_ != Message.Members_ || Place.Fenced_ > List_) {
+  } else if (!Place.Mine_ || Place.Members_ != Message.Members_ || Place.Fenced_ > List_ ||
+             !isFresh(Now)) {
     return {};
   }
   Incarnation &Known = Place.Known_[From];
@@ -282,7 +306,7 @@
                       Message.Incarnation_,
                       Own_,
                       Message.Fence_,
-                      Now - Place.KnowsFrom_,
+                      Now - knowledgeFor(Now, Place, Message),
                       {},
                       {}};
   for (const auto &[Key, Mine] : Entries_) {
@@ -305,14 +329,17 @@
     return {};
   Incarnation &Known = Place.Known_[From];
   Known = std::max(Known, Message.Witness_);
-  (Message.Fence_ ? Place.FenceFrom_ : Place.SyncFrom_)[From] = Now - Message.KnownFor_;
+  const TimePoint KnowsFrom = Now - Message.KnownFor_;
+  auto &Replies = Message.Fence_ ? Place.FenceFrom_ : Place.SyncFrom_;
+  TimePoint &Best = Replies.try_emplace(From, KnowsFrom).first->second;
+  Best = std::min(Best, KnowsFrom);
   if (Message.Fence_ && !Place.Previous_.empty()) {
     for (const auto &Set : Message.LaterSets_) {
       if (!contains(Place.Previous_, Set))
         Place.Previous_.push_back(Set);
     }
   }
-  inherit(Place);
+  inherit(Now, Place);
   return {};
 }
 
@@ -346,9 +373,11 @@
         Sends.push_back({Host, ClaimProbe{ProbeNumber_, Own_}});
     }
   }
-  if (Now >= NextRequest_) {
-    NextRequest_ = Now + std::chrono::seconds(1);
-    for (std::uint32_t Number = 0; Number < ClaimSlots; ++Number)
+  const bool IsRound = Now >= NextRequest_;
+  if (IsRound)
+    NextRequest_ = Now + std::chrono::seconds(5);
+  for (std::uint32_t Number = 0; Number < ClaimSlots; ++Number) {
+    if (IsRound || Now - Slots_[Number].AdoptedAt_ < EarlyRequests)
       requestEntries(Now, Number, Sends);
   }
   if (Now >= NextExpiry_) {
