--- a/include/bronzestand/claims.h
+++ b/include/bronzestand/claims.h
@@ -49,7 +49,7 @@
 
 /// Keys are grouped into slots; all keys of a slot have the same witnesses, and tables are handed
 /// over by slot.
-constexpr std::uint32_t ClaimSlots = 64;
+constexpr std::uint32_t ClaimSlots = 32;
 inline std::uint32_t slotOf(const ClaimDigest &Key) {
   return static_cast<std::uint32_t>(Key.High_ % ClaimSlots);
 }
@@ -177,7 +177,8 @@
   /// Sets the wall clock. Without it only the rule for opaque keys applies.
   void setWallClock(TimePoint Now, std::int64_t UnixMs);
   /// Takes the service's host list; a list with an older revision is ignored.
-  std::vector<ClaimSend> setHosts(TimePoint Now, std::vector<ClaimHost> Hosts, Revision List);
+  std::vector<ClaimSend> setHosts(TimePoint Now, const std::vector<ClaimHost> &Hosts,
+                                  Revision List);
   std::vector<ClaimSend> handle(TimePoint Now, const HostId &From, const ClaimMessage &Message);
   /// Sends probes and repeats requests for entries. Call it at least every 100 ms.
   std::vector<ClaimSend> tick(TimePoint Now);
@@ -289,7 +290,7 @@
 public:
   Claimant(HostId Self, Incarnation Own, ClaimSettings Settings = {});
 
-  void setHosts(std::vector<ClaimHost> Hosts, Revision List);
+  void setHosts(const std::vector<ClaimHost> &Hosts, Revision List);
   /// Starts a request; exactly one final decision follows for the id, now or later.
   /// \param Redirected incarnation in the redirect that brought the request here, if any.
   ClaimId begin(TimePoint Now, const ClaimKey &Key, std::uint64_t BodyHash, ClaimEffects &Effects,
--- a/src/engine/claims.cpp
+++ b/src/engine/claims.cpp
@@ -71,6 +71,7 @@
     }
   }
   std::vector<HostId> Members;
+  Members.reserve(Chosen.size());
   for (const ClaimHost *Host : Chosen)
     Members.push_back(Host->Id_);
   std::sort(Members.begin(), Members.end());
--- a/src/engine/claims_claimant.cpp
+++ b/src/engine/claims_claimant.cpp
@@ -36,7 +36,7 @@
 Claimant::Claimant(HostId Self, Incarnation Own, ClaimSettings Settings)
     : Self_(std::move(Self)), Own_(Own), Settings_(Settings), Sets_(ClaimSlots) {}
 
-void Claimant::setHosts(std::vector<ClaimHost> Hosts, Revision List) {
+void Claimant::setHosts(const std::vector<ClaimHost> &Hosts, Revision List) {
   if (List <= List_)
     return;
   List_ = List;
--- a/src/engine/claims_witness.cpp
+++ b/src/engine/claims_witness.cpp
@@ -16,7 +16,7 @@
 constexpr std::size_t HistorySize = 16;
 
 /// Time after a change of set in which requests for entries are repeated at every tick.
-constexpr Duration EarlyRequests = std::chrono::seconds(2);
+constexpr Duration EarlyRequests = std::chrono::seconds(1);
 
 std::size_t majority(std::size_t Count) { return Count / 2 + 1; }
 
@@ -53,7 +53,7 @@
   WallOffsetUs_ = UnixMs * 1000 - Now.time_since_epoch().count();
 }
 
-std::vector<ClaimSend> Witness::setHosts(TimePoint Now, std::vector<ClaimHost> Hosts,
+std::vector<ClaimSend> Witness::setHosts(TimePoint Now, const std::vector<ClaimHost> &Hosts,
                                          Revision List) {
   std::vector<ClaimSend> Sends;
   if (List <= List_)
@@ -62,6 +62,7 @@
   const Revision Before = List_;
   List_ = List;
   std::vector<HostId> Ids;
+  Ids.reserve(Hosts.size());
   for (const ClaimHost &Host : Hosts)
     Ids.push_back(Host.Id_);
   Panel_ = topHosts("claims/panel", Ids, PanelSize);
@@ -119,7 +120,7 @@
   if (!Place.Mine_ || Place.Inherited_ || Now - Place.KnowsFrom_ >= retention())
     return;
   // Two hosts that change sets at the same time may each need the other's entries, hence the
-  // repeats; after two seconds only silent hosts are asked again, because tables are large.
+  // repeats; after a second only silent hosts are asked again, because tables are large.
   const bool IsEarly = Now - Place.AdoptedAt_ < EarlyRequests;
   HandoverRequest Request{Number, List_, Own_, Place.Before_, true, Place.Members_};
   std::vector<HostId> Asked{Self_};
