--- a/tests/unit/claims_test.cpp
+++ b/tests/unit/claims_test.cpp
@@ -135,6 +135,33 @@
   CHECK(count(Sim, "idempotency_key_reused") == 2);
 }
 
+/// Whether a claim is dispatched on votes by h0 and by the first run of h1.
+bool isDispatched(Incarnation KnownOfSecond, Duration Delay) {
+  std::vector<ClaimHost> Hosts;
+  Hosts.reserve(3);
+  for (int At = 0; At < 3; ++At)
+    Hosts.push_back({HostId(fmt::format("h{}", At)), DataCentreId("d"), RegionId("r")});
+  Claimant Executor(Hosts[2].Id_, 1);
+  Executor.setHosts(Hosts, 1);
+  const TimePoint Start(1000s);
+  const ClaimKey Key{TeamId("t"), "POST /deposits", "k"};
+  ClaimEffects Effects;
+  const ClaimId Id = Executor.begin(Start, Key, 1, Effects);
+  const ClaimVote First{digestOf(Key), 1, ClaimVerdict::Granted, 1, {}, 0, {0, KnownOfSecond, 0}};
+  const ClaimVote Second{digestOf(Key), 1, ClaimVerdict::Granted, 1, {}, 0, {0, 0, 0}};
+  Executor.handle(Start, Hosts[1].Id_, Second, Effects);
+  Executor.handle(Start + Delay, Hosts[0].Id_, First, Effects);
+  return Executor.stillValid(Start + Delay, Id);
+}
+
+// Guards against a vote cast before a restart that is added to one cast after it, and against a
+// dispatch on votes that waited during a pause.
+TEST_CASE("claimant_voteOfOlderRunOrTooLate_doesNotDispatch") {
+  CHECK(isDispatched(1, 1ms));
+  CHECK_FALSE(isDispatched(2, 1ms));
+  CHECK_FALSE(isDispatched(1, 2s));
+}
+
 // Guards against unbounded tables.
 TEST_CASE("claims_tableFull_refusesWithType") {
   ClaimSettings Settings = sim::shortSettings();
