Bind team limits into the node

Cause: the engine module decided on nothing; a team could send any rate. The router asks it once per request of a caller, after all checks of the request itself, so that bad requests take no token.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -7,6 +7,7 @@
 #include "node/config_part.h"
 #include "node/executor.h"
 #include "node/http_server.h"
+#include "node/limits_part.h"
 #include "node/peer_links.h"
 #include "node/platform_reader.h"
 #include "node/router.h"
@@ -34,7 +35,8 @@
       : Io_(Io), Config_(std::move(Config)), Run_(wallMicroseconds()), Log_(makeLogger("node")),
         Timer_(Io), Links_(Io, Config_, Run_), Reader_(Io, Config_), Documents_(Reader_),
         Executor_(Io, Config_, Documents_, Contexts_),
-        Router_({Io, Config_, Documents_, Contexts_, Links_, Executor_}, Run_),
+        Limits_(Io, Config_, Documents_, Links_, Run_),
+        Router_({Io, Config_, Documents_, Contexts_, Links_, Executor_, Limits_}, Run_),
         CallerServer_(Io, Config_.CallerListen_, {},
                       [this](HttpRequest Request, const HttpExchangePtr &Exchange) {
                         Router_.handleCaller(std::move(Request), Exchange);
@@ -50,6 +52,7 @@
 
   absl::Status start() {
     Links_.setResolver([this](const HostId &Host) { return addressOf(Host); });
+    Documents_.addChangeCallback([this](const std::string &Path) { Limits_.onChange(Path); });
     for (Part *Child : children())
       Supervisor_.add(*Child);
     for (HttpServer *Server : {&OperatorServer_, &EgressServer_}) {
@@ -76,10 +79,13 @@
     CallerServer_.drain();
     Router_.drain();
     Executor_.drain();
+    Limits_.leaving(now());
   }
 
 private:
-  std::vector<Part *> children() { return {&Links_, &Reader_, &Documents_, &Executor_, &Router_}; }
+  std::vector<Part *> children() {
+    return {&Links_, &Reader_, &Documents_, &Limits_, &Executor_, &Router_};
+  }
 
   std::optional<Endpoint> addressOf(const HostId &Host) const {
     const HostSpec *Spec = Documents_.catalogue().findHost(Host);
@@ -151,6 +157,7 @@
   PlatformReader Reader_;
   ConfigPart Documents_;
   Executor Executor_;
+  LimitsPart Limits_;
   Router Router_;
   HttpServer CallerServer_;
   HttpServer EgressServer_;
--- a/src/node/router.cpp
+++ b/src/node/router.cpp
@@ -161,10 +161,7 @@
   Partial.Target_ = std::move(Request.Target_);
   Partial.Headers_ = std::move(Request.Headers_);
   Partial.Body_ = std::move(Request.Body_);
-  const CallId Id = Partial.Id_;
-  const RoutedCallPtr Item(new RoutedCall(*this, std::move(Partial), Exchange, Parent));
-  Running_.emplace(Id, Item);
-  Item->start();
+  enter(std::move(Partial), Exchange, Parent);
 }
 
 HostId Router::chooseHost(const Call &Request, const std::set<HostId> &Excluded) const {
--- a/src/node/router.h
+++ b/src/node/router.h
@@ -12,6 +12,7 @@
 #include "node/config_part.h"
 #include "node/executor.h"
 #include "node/http_server.h"
+#include "node/limits_part.h"
 #include "node/part.h"
 #include "node/peer_links.h"
 
@@ -30,6 +31,7 @@
     CallContexts &Contexts_;
     PeerLinks &Links_;
     Executor &Executor_;
+    LimitsPart &Limits_;
   };
 
   Router(const Parts &Environment, Incarnation Run);
@@ -41,7 +43,8 @@
   void handleEgress(HttpRequest Request, const HttpExchangePtr &Exchange);
   /// Refuses new requests of callers from now on; calls of running requests go on.
   void drain() { Draining_ = true; }
-  std::size_t running() const { return Running_.size(); }
+  /// Requests that run or wait for a lease of their team.
+  std::size_t running() const { return Running_.size() + Held_; }
 
   std::string_view name() const override { return "router"; }
   absl::Status start() override;
@@ -54,6 +57,11 @@
 
   void route(HttpRequest Request, const HttpExchangePtr &Exchange, Call Partial,
              const RouteSpec &Route, const std::shared_ptr<CallContext> &Parent);
+  /// Checks the team limit of a caller's request and starts the call.
+  void enter(Call Request, const HttpExchangePtr &Exchange,
+             const std::shared_ptr<CallContext> &Parent);
+  void run(Call Request, const HttpExchangePtr &Exchange,
+           const std::shared_ptr<CallContext> &Parent);
   void finished(CallId Id);
   HostId chooseHost(const Call &Request, const std::set<HostId> &Excluded) const;
   void onAnswer(const HostId &From, const Answer &Result);
@@ -64,6 +72,7 @@
   Logger Log_;
   CallId LastCall_ = 0;
   std::map<CallId, RoutedCallPtr> Running_;
+  std::size_t Held_ = 0;
   std::map<std::string, std::uint64_t> Outcomes_; ///< count by refusal name or "served"
   bool Draining_ = false;
 };
