--- a/src/node/limits_part.cpp
+++ b/src/node/limits_part.cpp
@@ -59,6 +59,9 @@
   }
   const TimePoint Now = now();
   checkPause(Now);
+  // A key of a new team is valid at once, so its limit has to be known as well.
+  if (TeamsChanged_)
+    applyTeams(Now);
   const LimitDecision Decision = Limits_.admit(Now, Team);
   keepTicking(Now);
   if (Decision == LimitDecision::Hold) {
@@ -155,7 +158,7 @@
 void LimitsPart::applyCatalogue(TimePoint Now) {
   if (!Documents_.isReady())
     return;
-  if (std::exchange(TeamsChanged_, false))
+  if (TeamsChanged_)
     applyTeams(Now);
   if (!std::exchange(HostsChanged_, false))
     return;
@@ -169,6 +172,7 @@
 }
 
 void LimitsPart::applyTeams(TimePoint Now) {
+  TeamsChanged_ = false;
   const std::map<TeamId, TeamSpec> &Present = Documents_.catalogue().teams();
   for (auto It = Teams_.begin(); It != Teams_.end();) {
     if (Present.count(It->first) != 0) {
--- a/tests/integration/fleet.cpp
+++ b/tests/integration/fleet.cpp
@@ -246,7 +246,7 @@
 }
 
 bool Fleet::waitUntilInForce(std::chrono::milliseconds Limit) {
-  return waitFor(
+  const bool InForce = waitFor(
       [&] {
         for (const auto &[Host, Running] : Nodes_) {
           if (!Running->isRunning())
@@ -258,6 +258,21 @@
         return true;
       },
       Limit);
+  // Hosts that start together count each other before they use their rights. A host that was
+  // restarted waits longer, but has leases of other hosts.
+  waitFor([&] { return allAdmit(); }, std::chrono::seconds(2));
+  return InForce;
+}
+
+bool Fleet::allAdmit() {
+  for (const auto &[Host, Running] : Nodes_) {
+    const json State = Running->isRunning() ? state(Host) : json();
+    if (!State.is_object() || !State["limits"]["enabled"].get<bool>())
+      continue;
+    if (!State["limits"]["own_right_usable"].get<bool>())
+      return false;
+  }
+  return true;
 }
 
 json Fleet::state(const std::string &Host) {
--- a/tests/integration/fleet.h
+++ b/tests/integration/fleet.h
@@ -79,7 +79,8 @@
   void setPlatformMode(const std::string &Mode);
   nlohmann::json platformStats();
 
-  /// Waits until all running nodes have the newest revision of the platform in force.
+  /// Waits until all running nodes have the newest revision of the platform in force and, for up
+  /// to 2 s, until all of them may use their share of the team limits.
   bool waitUntilInForce(std::chrono::milliseconds Limit = std::chrono::seconds(10));
 
   void startNode(const std::string &Host);
@@ -112,6 +113,7 @@
   };
 
   const HostOptions &options(const std::string &Host) const;
+  bool allAdmit();
   std::string settingsFor(const HostOptions &Host) const;
 
   std::vector<HostOptions> Hosts_;
