Return team limit leases whose demand has moved

Cause: demand is averaged over a second, so a node kept a long lease, and its broker the bulk loans for it, for up to a second after most calls had moved to other nodes. Change: a node whose bucket is full and whose demand of the last 0.1 s is below half of the average returns the lease and asks for a smaller one. A broker returns bulk loans as soon as its own region's rights cover the demand, each with its part of the tokens.

--- a/include/bronzestand/team_limits.h
+++ b/include/bronzestand/team_limits.h
@@ -234,6 +234,7 @@
   Bucket Bucket_;
   std::map<HostId, Borrowing> Leases_;
   double Demand_ = 0; ///< calls per second, smoothed
+  double Recent_ = 0; ///< the same, over a tenth of the time
   std::uint32_t Missed_ = 0, EmptyAnswers_ = 0;
   TimePoint FirstCall_{}, LastCall_{}, EmptyUntil_{}, NextLease_{};
   // Broker role.
@@ -326,6 +327,7 @@
                       const HostId &Lender);
   void askSpotBulk(TimePoint Now, const TeamId &Name, detail::TeamState &Team);
   void returnBulk(TimePoint Now, const TeamId &Name, detail::TeamState &Team);
+  double missingRate(TimePoint Now, const detail::TeamState &Team);
   void askBulk(TimePoint Now, const TeamId &Name, detail::TeamState &Team);
   void answerWaiting(TimePoint Now, detail::TeamState &Team, bool All);
   void tickBroker(TimePoint Now, const TeamId &Name, detail::TeamState &Team);
@@ -337,6 +339,7 @@
   void advanceBucket(TimePoint Now, detail::TeamState &Team);
   void askLease(TimePoint Now, const TeamId &Name, detail::TeamState &Team);
   void returnLeases(TimePoint Now, const TeamId &Name, detail::TeamState &Team);
+  bool dropOversized(TimePoint Now, const TeamId &Name, detail::TeamState &Team);
   void tickConsumer(TimePoint Now, const TeamId &Name, detail::TeamState &Team);
 
   void send(const HostId &To, LimitMessage Message);
--- a/src/engine/team_limits_broker.cpp
+++ b/src/engine/team_limits_broker.cpp
@@ -232,16 +232,22 @@
   return true;
 }
 
+// Rate to borrow from other brokers, as a fraction of the team's rate.
+double TeamLimits::missingRate(TimePoint Now, const detail::TeamState &Team) {
+  const double Owned = ownedFraction(Now, Team, Now);
+  const double Missing = std::min(1.0, wantedTotal(Team)) - Owned;
+  // Demand is reported ahead of what was measured; the part ahead is not worth a bulk loan.
+  return Missing < 0.3 * Owned ? 0 : Missing;
+}
+
 // Borrows rate where the demand exceeds what the owners of this data centre have lent.
 void TeamLimits::askBulk(TimePoint Now, const TeamId &Name, detail::TeamState &Team) {
   const detail::ShardState &Shard = Shards_[Team.Shard_];
   if (Shard.OtherBrokers_.empty() || Shard.LocalBroker_ != Self_ || Leaving_ || Team.Burst_ <= 0)
     return;
   advancePool(Now, Team);
-  const double Owned = ownedFraction(Now, Team, Now);
-  // Demand is reported ahead of what was measured; the part ahead is not worth a bulk loan.
-  const double Missing = std::min(1.0, wantedTotal(Team)) - Owned;
-  if (Missing < 0.3 * Owned || Missing <= 0)
+  const double Missing = missingRate(Now, Team);
+  if (Missing <= 0)
     return;
   double Held = 0;
   std::size_t Parts = 0;
@@ -389,25 +395,32 @@
       Loan.Short_ = false;
     askBulk(Now, Name, Team);
   }
-  if (!Pending && Team.Wanted_.empty())
+  if (!Pending && missingRate(Now, Team) <= 0)
     returnBulk(Now, Name, Team);
 }
 
-// Bulk loans without demand are returned once no lease stands on them.
+// Bulk loans that the demand no longer needs are returned once no lease stands on them. While there
+// is demand, each takes its part of the tokens along.
 void TeamLimits::returnBulk(TimePoint Now, const TeamId &Name, detail::TeamState &Team) {
+  const bool Idle = Team.Wanted_.empty();
+  const auto Return = [&](std::map<HostId, detail::Borrowing> &Loans, LoanKind Kind) {
+    for (auto &[Host, Loan] : std::exchange(Loans, {})) {
+      const double Fraction = Loan.Holding_.at(Now);
+      if (Fraction <= 0)
+        continue;
+      const double All = poolFraction(Now, Team, Now) + Fraction;
+      const double Share = Idle ? 1 : Fraction / All;
+      const double Part = std::min(Team.Pool_.Level_ * Share, Fraction * Team.Burst_);
+      Team.Pool_.Level_ -= Part;
+      send(Host, LeaseReturn{Name, Run_, Loan.Holding_.Stamp_, Part, Kind});
+    }
+  };
   if ((Team.Bulk_.empty() && Team.SpotBulk_.empty()) ||
       lentFraction(Now, Team) > ownedFraction(Now, Team, Now + Settings_.BulkTerm_))
     return;
-  double Tokens = Team.Pool_.Level_;
-  for (const LoanKind Kind : {LoanKind::Bulk, LoanKind::SpotBulk})
-    for (auto &[Host, Loan] :
-         std::exchange(Kind == LoanKind::Bulk ? Team.Bulk_ : Team.SpotBulk_, {}))
-      if (Loan.Holding_.at(Now) > 0) {
-        const double Part = std::min(Tokens, Loan.Holding_.Fraction_ * Team.Burst_);
-        Tokens -= Part;
-        Team.Pool_.Level_ -= Part;
-        send(Host, LeaseReturn{Name, Run_, Loan.Holding_.Stamp_, Part, Kind});
-      }
+  Return(Team.Bulk_, LoanKind::Bulk);
+  if (Idle)
+    Return(Team.SpotBulk_, LoanKind::SpotBulk);
   advancePool(Now, Team);
 }
 
--- a/src/engine/team_limits_consumer.cpp
+++ b/src/engine/team_limits_consumer.cpp
@@ -7,6 +7,11 @@
 namespace {
 
 constexpr double DemandSeconds = 1.0;
+/// Demand that has fallen shows within this time; the longer average would keep a lease for a
+/// second after the calls have moved to other nodes.
+constexpr double RecentSeconds = 0.1;
+/// A full lease is too large once recent demand is below this part of the average.
+constexpr double FallenPart = 0.5;
 /// Demand is leased ahead by this factor, so that normal variation needs no extra message.
 constexpr double LeaseAhead = 1.3;
 /// A request is held at most 50 ms.
@@ -59,6 +64,7 @@
   const double Idle = std::chrono::duration<double>(Now - Team.LastCall_).count();
   Team.Demand_ =
       Team.Demand_ * std::exp(-Idle / DemandSeconds) + (Retried ? 0 : 1.0 / DemandSeconds);
+  Team.Recent_ = Team.Recent_ * std::exp(-Idle / RecentSeconds) + (Retried ? 0 : 1 / RecentSeconds);
   Team.LastCall_ = Now;
   if (Idle > 2 * DemandSeconds)
     Team.FirstCall_ = Now;
@@ -207,6 +213,20 @@
   Team.Bucket_.Level_ = 0;
 }
 
+// Returns a lease whose demand has moved elsewhere, and asks for a smaller one.
+bool TeamLimits::dropOversized(TimePoint Now, const TeamId &Name, detail::TeamState &Team) {
+  const double Idle = std::chrono::duration<double>(Now - Team.LastCall_).count();
+  const double Recent = Team.Recent_ * std::exp(-Idle / RecentSeconds);
+  const bool Full = Team.Bucket_.Level_ >= 0.9 * leased(Now, Team) * Team.Burst_;
+  if (leasedRate(Now, Team) <= 0 || !Full || Recent >= FallenPart * demand(Now, Team) ||
+      Now < Team.FirstCall_ + std::chrono::milliseconds(300))
+    return false;
+  returnLeases(Now, Name, Team);
+  Team.Demand_ = Recent;
+  askLease(Now, Name, Team);
+  return true;
+}
+
 void TeamLimits::tickConsumer(TimePoint Now, const TeamId &Name, detail::TeamState &Team) {
   if (Team.Leases_.empty())
     return;
@@ -232,6 +252,8 @@
     returnLeases(Now, Name, Team);
     return;
   }
+  if (dropOversized(Now, Name, Team))
+    return;
   if (Now >= Team.NextLease_ || (Team.Missed_ > 0 && Now >= Team.EmptyUntil_))
     askLease(Now, Name, Team);
 }
