--- a/tests/integration/fleet.cpp
+++ b/tests/integration/fleet.cpp
@@ -153,7 +153,11 @@
     Ended_.push_back(std::move(Nodes_[Host]));
   Nodes_[Host] = std::make_unique<Process>("node " + Host, "bronzestandd",
                                            std::vector<std::string>{"--settings", File});
-  REQUIRE(waitFor([&] { return state(Host).is_object(); }, StartLimit));
+  const bool Started = waitFor([&] { return state(Host).is_object(); }, StartLimit);
+  // The destructor, which shows the logs, does not run if this is called by the constructor.
+  if (!Started)
+    WARN(logs());
+  REQUIRE(Started);
 }
 
 void Fleet::startBackend(const std::string &Host) {
