--- a/src/engine/dispatcher.cpp
+++ b/src/engine/dispatcher.cpp
@@ -17,7 +17,7 @@
 constexpr double EstimateHalfLifeSeconds = 0.5;
 constexpr double MeanWeight = 1.0 / 32.0;
 constexpr auto MinTargetDelay = std::chrono::milliseconds(2);
-constexpr double TargetDelayPerLatency = 0.5;
+constexpr double TargetDelayPerLatency = 1.0;
 
 Duration seconds(double Value) {
   return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(Value));
--- a/src/engine/dispatcher_queue.cpp
+++ b/src/engine/dispatcher_queue.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 // Window of the fairness among teams: a team that was idle longer has no further credit.
-constexpr double UseWindowSeconds = 1.0;
+constexpr double UseWindowSeconds = 4.0;
 // The unit of use grows as exp(t / window); it is rescaled well before it overflows.
 constexpr double MaxUnitExponent = 10.0;
 constexpr double NegligibleUse = 0.01;
