Keep limit samples of slow backend servers

Cause: a measurement phase expired after 2 s, before a backend server with a latency of 400 ms had ended its samples, so its limit was never learned. Change: samples expire 10 s after the last one.

--- a/include/bronzestand/dispatcher.h
+++ b/include/bronzestand/dispatcher.h
@@ -100,7 +100,7 @@
   std::array<Phase, 2> Phases_;
   std::size_t Active_ = 0;
   std::uint64_t Stamp_ = 1;
-  TimePoint PhaseStart_;
+  TimePoint LastSample_;
   TimePoint LastShed_;
 };
 
--- a/src/engine/dispatcher_limit.cpp
+++ b/src/engine/dispatcher_limit.cpp
@@ -23,7 +23,8 @@
 constexpr unsigned MinSamples = 96;
 constexpr double BoundShare = 0.9;
 constexpr double EndedShare = 0.95;
-constexpr auto PhaseTimeout = std::chrono::seconds(2);
+// Samples from before a pause in the load are not compared with later ones.
+constexpr auto SampleLifetime = std::chrono::seconds(10);
 constexpr auto ShedInterval = std::chrono::milliseconds(100);
 
 /// The higher limit holds twice as long: only the lower one may leave slots idle.
@@ -49,12 +50,12 @@
   Phases_[0].Limit_ = std::max(High, Low + 1);
   Phases_[1].Limit_ = Low;
   Active_ = 0;
-  PhaseStart_ = Now;
+  LastSample_ = Now;
   ++Stamp_;
 }
 
 std::uint64_t ConcurrencyLimit::dispatched(TimePoint Now, unsigned InFlight) {
-  if (Now - PhaseStart_ > PhaseTimeout && (Active_ != 0 || Phases_[0].Stamped_ != 0))
+  if (Now - LastSample_ > SampleLifetime && (Active_ != 0 || Phases_[0].Stamped_ != 0))
     startPair(Now);
   Phase &Active = Phases_[Active_];
   // Calls below the limit say nothing about it: light load never changes the limit.
@@ -62,8 +63,7 @@
   const unsigned Wanted = wantedSamples(Active_, Active.Limit_);
   if (!Bound || Active.Stamped_ >= Wanted)
     return 0;
-  if (Active.Stamped_ == 0)
-    PhaseStart_ = Now;
+  LastSample_ = Now;
   ++Active.Stamped_;
   return Stamp_;
 }
@@ -96,7 +96,7 @@
 void ConcurrencyLimit::endPhase(TimePoint Now) {
   if (Active_ == 0) {
     Active_ = 1;
-    PhaseStart_ = Now;
+    LastSample_ = Now;
     ++Stamp_;
     return;
   }
--- a/tests/unit/dispatcher_test.cpp
+++ b/tests/unit/dispatcher_test.cpp
@@ -125,6 +125,15 @@
   CHECK(Model.Served_ - Before >= 0.95 * 35 * 100);
 }
 
+// Guards against a measurement that expires before a slow backend server has given its samples.
+TEST_CASE("limit_slow_service_is_still_learned") {
+  BackendModel Model(35, 0.5);
+  Model.Slow_ = 20.0;
+  Model.run(std::chrono::seconds(120));
+  CHECK(Model.Dispatcher_.meanLimit() >= 0.85 * 35);
+  CHECK(Model.Dispatcher_.meanLimit() <= 2.0 * 35);
+}
+
 // Guards against a limit that drifts up while nothing tests it.
 TEST_CASE("limit_light_load_stays") {
   BackendModel Model(35, 1.0);
