--- a/tests/integration/fleet.cpp
+++ b/tests/integration/fleet.cpp
@@ -153,7 +153,9 @@
     Ended_.push_back(std::move(Nodes_[Host]));
   Nodes_[Host] = std::make_unique<Process>("node " + Host, "bronzestandd",
                                            std::vector<std::string>{"--settings", File});
-  REQUIRE(waitFor([&] { return state(Host).is_object(); }, StartLimit));
+  const bool Started = waitFor([&] { return state(Host).is_object(); }, StartLimit);
+  INFO(Nodes_[Host]->logTail());
+  REQUIRE(Started);
 }
 
 void Fleet::startBackend(const std::string &Host) {
--- a/tests/integration/fleet.h
+++ b/tests/integration/fleet.h
@@ -20,7 +20,7 @@
   std::string Service_;
   std::string DataCentre_ = "colombo";
   std::string Region_ = "western";
-  std::vector<std::string> Children_ = {}; ///< child calls of the backend server, "GET /path"
+  std::vector<std::string> Children_ = {}; ///< child calls, "GET /path" or "/for=GET /path"
   std::string Slots_ = "32";
   std::string ServiceTimeUs_ = "1000";
   std::vector<std::string> BackendOptions_ = {};
--- a/tests/standins/standin_backend.cpp
+++ b/tests/standins/standin_backend.cpp
@@ -14,7 +14,9 @@
 
 namespace {
 
+/// A child call that every request makes, or only those to one path.
 struct Child {
+  std::string OnlyFor_;
   std::string Method_;
   std::string Target_;
 };
@@ -36,8 +38,11 @@
     if (!Given.get("--egress").empty())
       Egress_ = std::make_unique<node::HttpClient>(Io, Given.endpoint("--egress"), 300);
     for (const std::string &Text : Given.all("--child")) {
-      const std::size_t Space = Text.find(' ');
-      Children_.push_back({Text.substr(0, Space), Text.substr(Space + 1)});
+      const std::size_t Equals = Text.find('=');
+      const std::string Call = Equals == std::string::npos ? Text : Text.substr(Equals + 1);
+      const std::size_t Space = Call.find(' ');
+      Children_.push_back({Equals == std::string::npos ? std::string() : Text.substr(0, Equals),
+                           Call.substr(0, Space), Call.substr(Space + 1)});
     }
   }
 
@@ -94,6 +99,10 @@
       return;
     }
     const Child &Target = Children_[Item->NextChild_++];
+    if (!Target.OnlyFor_.empty() && Target.OnlyFor_ != node::pathOf(Item->Request_.Target_)) {
+      callChild(Item);
+      return;
+    }
     node::HttpRequest Request;
     Request.Method_ = Target.Method_;
     Request.Target_ = Target.Target_;
