Add membership

Cause: the balancer, limits and claims need the state of each host from a lagging list and from observation. Change: host states with leaving notices bound to a run, link epochs, own-pause detection and heartbeats whose echo bounds how old the proof of life is. Live hosts are indexed by data centre and service, and a changed list touches only its hosts.

--- /dev/null
+++ b/tests/unit/membership_test.cpp
@@ -0,0 +1,308 @@
+#include "bronzestand/membership.h"
+
+#include <map>
+#include <memory>
+#include <set>
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+#include "virtual_network.h"
+
+using namespace bronzestand;
+using namespace bronzestand::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+const HostId Peer("h1");
+const TimePoint Start{1000s};
+
+HostListSpec listOf(const std::string &Service, const std::vector<std::string> &Ids,
+                    bool Leaving = false) {
+  HostListSpec List;
+  List.DataCentre_ = DataCentreId("colombo");
+  List.Service_ = ServiceId(Service);
+  for (const std::string &Id : Ids) {
+    HostSpec Host;
+    Host.Id_ = HostId(Id);
+    Host.DataCentre_ = List.DataCentre_;
+    Host.Service_ = List.Service_;
+    Host.Leaving_ = Leaving;
+    List.Hosts_.push_back(Host);
+  }
+  return List;
+}
+
+Heartbeat hello(Incarnation Run, std::uint32_t Epoch = 0, bool Leaving = false) {
+  return {Run, Epoch, Leaving, TimePoint(), 0, TimePoint()};
+}
+
+struct MembershipFixture {
+  MembershipFixture() { Hosts_.setList(Start, listOf("payments", {"h1", "h2"})); }
+  bool beat(TimePoint Now, Incarnation Run, std::uint32_t Epoch, bool Leaving = false) {
+    MembershipEffects Out;
+    const bool Fresh = Hosts_.heard(Now, Peer, Run, Epoch, Out);
+    Hosts_.handle(Now, Peer, hello(Run, Epoch, Leaving));
+    return Fresh;
+  }
+  template <typename Effect> std::size_t ticksUntil(TimePoint From, TimePoint End) {
+    std::size_t Count = 0;
+    for (TimePoint Now = From; Now <= End; Now += 100ms)
+      for (const MembershipEffect &Item : Hosts_.tick(Now))
+        Count += std::holds_alternative<Effect>(Item) ? 1 : 0;
+    return Count;
+  }
+  Membership Hosts_{Start, {HostId("self"), 1}};
+};
+
+/// Nodes with a link to each other, over a network with faults.
+struct MembershipWorld {
+  struct Node {
+    std::unique_ptr<Membership> Hosts_;
+    Incarnation Run_ = 0;
+    TimePoint PausedUntil_;
+    std::optional<TimePoint> LeftAt_;
+    std::set<std::size_t> Linked_; ///< nodes with which this run completed a handshake
+  };
+  static constexpr std::size_t Size = 4;
+
+  explicit MembershipWorld(std::uint64_t Seed) : Net_(Seed), Nodes_(Size) {
+    for (std::size_t Index = 0; Index < Size; ++Index) {
+      start(Index);
+      Net_.at(Net_.now() + Duration(Net_.below(100'000)), [this, Index] { tick(Index); });
+    }
+  }
+  static HostId name(std::size_t Index) { return HostId(fmt::format("n{}", Index)); }
+
+  void start(std::size_t Index) {
+    Node &Value = Nodes_[Index];
+    Value.LeftAt_.reset();
+    Value.Linked_.clear();
+    Value.Hosts_ =
+        std::make_unique<Membership>(Net_.now(), MembershipSettings{name(Index), ++Value.Run_});
+    Value.Hosts_->setList(Net_.now(), listOf("payments", {"n0", "n1", "n2", "n3"}));
+    for (std::size_t To = 0; To < Size; ++To)
+      if (To != Index) {
+        connect(Index, To);
+        connect(To, Index);
+      }
+  }
+  void connect(std::size_t From, std::size_t To) {
+    Node &Value = Nodes_[From];
+    if (!Value.Hosts_ || !Nodes_[To].Hosts_)
+      return;
+    // A connection needs several answers of the peer, so it fails on a cut or paused one.
+    if (Cut_ == From || Cut_ == To || Nodes_[To].PausedUntil_ > Net_.now())
+      apply(From, Value.Hosts_->linkFailed(Net_.now(), name(To)));
+    else {
+      Value.Linked_.insert(To);
+      apply(From, Value.Hosts_->linkOpened(Net_.now(), name(To),
+                                           hello(Nodes_[To].Run_, Nodes_[To].Hosts_->epoch(),
+                                                 Nodes_[To].LeftAt_.has_value())));
+    }
+  }
+  void leave(std::size_t Index) {
+    if (Nodes_[Index].PausedUntil_ > Net_.now())
+      return;
+    Nodes_[Index].LeftAt_ = Net_.now();
+    apply(Index, Nodes_[Index].Hosts_->leave(Net_.now()));
+  }
+  void tick(std::size_t Index) {
+    Node &Value = Nodes_[Index];
+    if (Value.PausedUntil_ <= Net_.now()) {
+      apply(Index, Value.Hosts_->tick(Net_.now()));
+      checkOffers(Index);
+    }
+    Net_.at(Net_.now() + 100ms, [this, Index] { tick(Index); });
+  }
+  /// A host that this run never linked is left out: its handshake comes before any work.
+  void checkOffers(std::size_t Index) {
+    for (const HostSpec *Offer : Nodes_[Index].Hosts_->liveInService(ServiceId("payments")))
+      for (std::size_t Other = 0; Other < Size; ++Other)
+        if (Offer->Id_ == name(Other) && Other != Index && Nodes_[Other].LeftAt_ &&
+            Nodes_[Index].Linked_.count(Other) != 0 && Net_.now() - *Nodes_[Other].LeftAt_ > 3s)
+          ++LateOffers_;
+  }
+  void apply(std::size_t Index, const MembershipEffects &Effects) {
+    for (const MembershipEffect &Effect : Effects) {
+      if (const auto *Link = std::get_if<ReplaceLink>(&Effect))
+        reconnect(Index, Link->Host_);
+      else if (const auto *Probe = std::get_if<ProbeHost>(&Effect))
+        reconnect(Index, Probe->Host_);
+      else if (const auto *Send = std::get_if<SendMembership>(&Effect))
+        deliver(Index, indexOf(Send->To_), Send->Message_);
+    }
+  }
+  void reconnect(std::size_t Index, const HostId &To) {
+    Net_.at(Net_.now() + 1ms, [this, Index, Other = indexOf(To)] { connect(Index, Other); });
+  }
+  static std::size_t indexOf(const HostId &Id) {
+    return static_cast<std::size_t>(Id.str()[1] - '0');
+  }
+  void deliver(std::size_t From, std::size_t To, const MembershipMessage &Message) {
+    if (Cut_ != From && Cut_ != To)
+      Net_.deliver(1ms, [this, From, To, Message] { receive(From, To, Message); });
+  }
+  void receive(std::size_t From, std::size_t To, const MembershipMessage &Message) {
+    if (Nodes_[To].PausedUntil_ > Net_.now())
+      Net_.at(Nodes_[To].PausedUntil_, [this, From, To, Message] { receive(From, To, Message); });
+    else
+      apply(To, Nodes_[To].Hosts_->handle(Net_.now(), name(From), Message));
+  }
+  void disturb() {
+    const std::size_t Index = Net_.below(Size);
+    switch (Net_.below(5)) {
+    case 0:
+      Nodes_[Index].PausedUntil_ = Net_.now() + Duration(Net_.below(4'000'000));
+      break;
+    case 1:
+      start(Index);
+      break;
+    case 2:
+      leave(Index);
+      break;
+    case 3:
+      Cut_ = Net_.below(Size + 1);
+      break;
+    default:
+      Net_.Loss_ = static_cast<double>(Net_.below(40)) / 100.0;
+    }
+    Net_.runUntil(Net_.now() + Duration(Net_.below(1'500'000)));
+  }
+
+  VirtualNetwork Net_;
+  std::vector<Node> Nodes_;
+  std::size_t Cut_ = Size; ///< node that is cut off, Size for none
+  std::uint64_t LateOffers_ = 0;
+};
+
+} // namespace
+
+// Guards against a leaving host that is offered after 3 s, and against a host that stays unused
+// after the faults end.
+TEST_CASE("membership_random_faults_leaving_host_is_not_offered") {
+  for (std::uint64_t Seed = 1; Seed <= seeds(3000); ++Seed) {
+    MembershipWorld World(Seed);
+    World.Net_.Doubling_ = 0.1;
+    World.Net_.Late_ = 0.05;
+    World.Net_.Jitter_ = 100ms;
+    for (int Step = 0; Step < 12; ++Step)
+      World.disturb();
+    World.Net_.Loss_ = 0.0;
+    World.Net_.Late_ = 0.0;
+    World.Cut_ = MembershipWorld::Size;
+    for (auto &Node : World.Nodes_)
+      Node.PausedUntil_ = World.Net_.now();
+    World.Net_.runUntil(World.Net_.now() + 12s);
+    INFO("seed " << Seed);
+    REQUIRE(World.LateOffers_ == 0);
+    for (std::size_t Node = 0; Node < MembershipWorld::Size; ++Node)
+      for (std::size_t Other = 0; Other < MembershipWorld::Size; ++Other) {
+        const bool Left = Node != Other && World.Nodes_[Other].LeftAt_.has_value();
+        const HostState Expected = Left ? HostState::Leaving : HostState::Live;
+        REQUIRE(World.Nodes_[Node].Hosts_->state(MembershipWorld::name(Other)) == Expected);
+      }
+  }
+}
+
+// Guards against a notice that outlives the run it was for.
+TEST_CASE_METHOD(MembershipFixture, "host_left_with_new_incarnation_is_live_again") {
+  CHECK(beat(Start, 7, 0));
+  Hosts_.handle(Start, HostId("h2"), LeavingNotice{Peer, 7});
+  CHECK(Hosts_.state(Peer) == HostState::Leaving);
+  CHECK(beat(Start, 8, 0));
+  CHECK(Hosts_.state(Peer) == HostState::Live);
+  Hosts_.handle(Start, Peer, LeavingNotice{Peer, 7});
+  CHECK(Hosts_.state(Peer) == HostState::Live);
+  CHECK_FALSE(beat(Start, 7, 0, true));
+}
+
+// Guards against a lagging leaving mark that keeps a restarted host out of use.
+TEST_CASE_METHOD(MembershipFixture, "host_marked_by_list_with_new_incarnation_is_live_again") {
+  beat(Start, 7, 0);
+  Hosts_.setList(Start, listOf("payments", {"h1", "h2"}, true));
+  CHECK(Hosts_.state(Peer) == HostState::Leaving);
+  CHECK(Hosts_.state(HostId("h2")) == HostState::Leaving);
+  beat(Start, 8, 0);
+  CHECK(Hosts_.state(Peer) == HostState::Live);
+  Hosts_.setList(Start, listOf("payments", {"h1", "h2"}));
+  CHECK(Hosts_.state(HostId("h2")) == HostState::Live);
+}
+
+// Guards against blaming a host whose new connection works, and against calls to a silent host.
+TEST_CASE_METHOD(MembershipFixture, "link_silent_is_replaced_before_host_is_silent") {
+  Hosts_.linkOpened(Start, Peer, hello(7));
+  CHECK(ticksUntil<ReplaceLink>(Start, Start + 2100ms) == 1);
+  CHECK(Hosts_.state(Peer) == HostState::Live);
+  SECTION("new connection works") {
+    Hosts_.linkOpened(Start + 2200ms, Peer, hello(7));
+    ticksUntil<ReplaceLink>(Start + 2200ms, Start + 4000ms);
+    CHECK(Hosts_.state(Peer) == HostState::Live);
+  }
+  SECTION("no connection works") {
+    Hosts_.linkFailed(Start + 2200ms, Peer);
+    CHECK(ticksUntil<ProbeHost>(Start + 2200ms, Start + 10s) >= 1);
+    CHECK(Hosts_.state(Peer) == HostState::Silent);
+    CHECK(Hosts_.liveInService(ServiceId("payments")).size() == 1);
+    Hosts_.linkOpened(Start + 10s, Peer, hello(7));
+    CHECK(Hosts_.state(Peer) == HostState::Live);
+  }
+}
+
+// Guards against messages from before a pause, and against a resumed host that trusts what it knew
+// before the pause or late heartbeats.
+TEST_CASE_METHOD(MembershipFixture, "pause_starts_new_epoch") {
+  Hosts_.linkOpened(Start, Peer, hello(7));
+  const MembershipEffects Effects = Hosts_.tick(Start + 5s);
+  REQUIRE_FALSE(Effects.empty());
+  REQUIRE(std::holds_alternative<OwnPause>(Effects.front()));
+  CHECK(std::get<OwnPause>(Effects.front()).Gap_ == 5s);
+  CHECK(Hosts_.epoch() == 1);
+  CHECK(Hosts_.state(Peer) == HostState::Silent);
+  Hosts_.handle(Start + 5s, Peer, Heartbeat{7, 0, false, Start, 1, Start + 1s});
+  CHECK(Hosts_.state(Peer) == HostState::Silent);
+  Hosts_.handle(Start + 5s, Peer, Heartbeat{7, 0, false, Start, 1, Start + 5s});
+  CHECK(Hosts_.state(Peer) == HostState::Live);
+
+  beat(Start + 5s, 7, 1);
+  CHECK(Hosts_.state(Peer) == HostState::Paused);
+  CHECK_FALSE(beat(Start + 5s, 7, 0));
+  ticksUntil<OwnPause>(Start + 5s, Start + 6100ms);
+  CHECK(Hosts_.state(Peer) == HostState::Live);
+}
+
+// Guards against a host that is forgotten at once when a lagging list drops it.
+TEST_CASE_METHOD(MembershipFixture, "host_off_list_is_gone_after_grace_period") {
+  Hosts_.setList(Start, listOf("payments", {"h2"}));
+  CHECK(Hosts_.listed() == 1);
+  ticksUntil<OwnPause>(Start, Start + 19s);
+  CHECK(Hosts_.state(Peer) == HostState::Leaving);
+  ticksUntil<OwnPause>(Start + 19s, Start + 21s);
+  CHECK(Hosts_.state(Peer) == HostState::Gone);
+  CHECK(Hosts_.find(Peer) == nullptr);
+}
+
+// Guards against index entries lost or kept when a changed list touches only some hosts.
+TEST_CASE("indexes_random_list_changes_match_lists") {
+  std::mt19937_64 Random(5);
+  Membership Hosts(Start, {HostId("self"), 1});
+  std::map<std::string, std::set<std::string>> Lists;
+  for (int Step = 0; Step < 2000; ++Step) {
+    const std::string Service = fmt::format("s{}", Random() % 4);
+    std::set<std::string> Ids;
+    for (std::uint64_t Count = Random() % 8; Count > 0; --Count)
+      Ids.insert(fmt::format("{}-h{}", Service, Random() % 10));
+    Lists[Service] = Ids;
+    Hosts.setList(Start, listOf(Service, {Ids.begin(), Ids.end()}));
+    std::size_t Total = 0;
+    for (const auto &[Name, Expected] : Lists) {
+      std::set<std::string> Found;
+      for (const HostSpec *Host : Hosts.liveInService(ServiceId(Name)))
+        Found.insert(Host->Id_.str());
+      REQUIRE(Found == Expected);
+      Total += Expected.size();
+    }
+    REQUIRE(Hosts.liveInDataCentre(DataCentreId("colombo")).size() == Total);
+  }
+}
