Add configuration dissemination

Cause: documents must reach every node within 7 s and never revert, with a platform that is limited, stale or down. Change: document versions with tombstones and a digest tree, elected readers with takeover, an overlay of degree 6, pulls in parts of 64 KiB, digest repair and the start-up gate. Differences are compared again after 400 ms and pulls rotate over announcers, because with 20 % loss one node was 11 s behind.

--- /dev/null
+++ b/src/engine/config_spread.cpp
@@ -0,0 +1,363 @@
+#include "bronzestand/config_spread.h"
+
+#include <algorithm>
+
+namespace bronzestand {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration DigestInterval = 2s;
+constexpr Duration AskInterval = 200ms;
+constexpr Duration StartLimit = 2s;
+constexpr Duration PullTimeout = 300ms;
+constexpr int MaxPullAttempts = 12;
+constexpr std::size_t MaxPullSources = 4;
+/// Next comparison after one that found a difference. With 20 % loss, 2 s left a node behind for
+/// 11 s.
+constexpr Duration RepairInterval = 400ms;
+constexpr std::size_t ConfirmationsNeeded = 3;
+constexpr std::size_t AskedPerRound = 3;
+/// A larger message would delay heartbeats on the same link; one larger document goes alone.
+constexpr std::size_t MaxReplyBytes = 65'536;
+constexpr std::size_t MaxVersionsPerMessage = 512;
+/// Approximate bytes of a document's fields other than its text.
+constexpr std::size_t DocumentOverheadBytes = 64;
+
+std::size_t sizeOf(const Document &Version) {
+  return Version.Path_.size() + (Version.Text_ ? Version.Text_->size() : 0) + DocumentOverheadBytes;
+}
+
+/// Calls Use with consecutive parts of at most MaxVersionsPerMessage versions.
+template <typename Callable>
+void forParts(const std::vector<DocumentVersion> &Versions, Callable Use) {
+  for (std::size_t First = 0; First < Versions.size(); First += MaxVersionsPerMessage) {
+    const std::size_t Last = std::min(Versions.size(), First + MaxVersionsPerMessage);
+    Use(std::vector<DocumentVersion>(Versions.begin() + static_cast<std::ptrdiff_t>(First),
+                                     Versions.begin() + static_cast<std::ptrdiff_t>(Last)));
+  }
+}
+
+void announce(const HostId &To, const std::vector<PlatformStamp> &Stamps,
+              const std::vector<DocumentVersion> &Versions, ConfigEffects &Out) {
+  forParts(Versions, [&](std::vector<DocumentVersion> Part) {
+    Out.emplace_back(SendConfig{To, ConfigAnnounce{Stamps, std::move(Part)}});
+  });
+}
+
+void pull(const HostId &To, const std::vector<DocumentVersion> &Wanted, ConfigEffects &Out) {
+  forParts(Wanted, [&](std::vector<DocumentVersion> Part) {
+    Out.emplace_back(SendConfig{To, ConfigPull{std::move(Part)}});
+  });
+}
+
+} // namespace
+
+ConfigSpread::ConfigSpread(TimePoint Now, ConfigSpreadSettings Settings)
+    : Settings_(std::move(Settings)), Started_(Now), NextAsk_(Now), NextRead_(Now),
+      NextStamp_(Now) {
+  NextDigest_ = Now + randomUpTo(DigestInterval);
+}
+
+void ConfigSpread::addStartPeer(const HostId &Peer) {
+  if (Peer != Settings_.Self_ &&
+      std::find(StartPeers_.begin(), StartPeers_.end(), Peer) == StartPeers_.end())
+    StartPeers_.push_back(Peer);
+}
+
+ConfigEffects ConfigSpread::handle(TimePoint Now, const HostId &From,
+                                   const ConfigMessage &Message) {
+  ConfigEffects Out;
+  std::visit([&](const auto &Body) { on(Now, From, Body, Out); }, Message);
+  return Out;
+}
+
+ConfigEffects ConfigSpread::tick(TimePoint Now) {
+  ConfigEffects Out;
+  askPeers(Now, Out);
+  retryPulls(Now, Out);
+  elect(Now, Out);
+  read(Now, Out);
+  sendStamps(Now, Out);
+  sendDigests(Now, Out);
+  return Out;
+}
+
+void ConfigSpread::on(TimePoint Now, const HostId &From, const ConfigAnnounce &Message,
+                      ConfigEffects &Out) {
+  noteStamps(Now, Message.Stamps_);
+  pullMissing(Now, From, Message.Versions_, Out);
+}
+
+void ConfigSpread::on(TimePoint /*Now*/, const HostId &From, const ConfigPull &Message,
+                      ConfigEffects &Out) {
+  ConfigDocuments Reply;
+  std::size_t Bytes = 0;
+  const auto Flush = [&] {
+    if (!Reply.Documents_.empty())
+      Out.emplace_back(SendConfig{From, std::move(Reply)});
+    Reply = ConfigDocuments();
+    Bytes = 0;
+  };
+  for (const DocumentVersion &Wanted : Message.Wanted_) {
+    std::optional<Document> Found = Store_.find(Wanted);
+    if (!Found)
+      continue;
+    if (Bytes + sizeOf(*Found) > MaxReplyBytes)
+      Flush();
+    Bytes += sizeOf(*Found);
+    Reply.Documents_.push_back(std::move(*Found));
+  }
+  Flush();
+}
+
+void ConfigSpread::on(TimePoint Now, const HostId &From, const ConfigDocuments &Message,
+                      ConfigEffects &Out) {
+  take(Now, From, Message.Documents_, Out);
+  // The next comparison confirms the peer without waiting for the next round.
+  if (!Ready_ && Pulls_.empty()) {
+    ConfigDigest Digest = makeDigest(Now, 0);
+    Digest.Ask_ = true;
+    Out.emplace_back(SendConfig{From, std::move(Digest)});
+  }
+}
+
+void ConfigSpread::take(TimePoint Now, const HostId &From, const std::vector<Document> &Documents,
+                        ConfigEffects &Out) {
+  std::vector<DocumentVersion> News;
+  for (const Document &Version : Documents) {
+    ParsedDocument Parsed;
+    const Verdict Decision = Store_.offer(Version, Parsed);
+    if (const auto Pending = Pulls_.find(Version.Path_);
+        Pending != Pulls_.end() && !Store_.lacks(Pending->second.Version_))
+      Pulls_.erase(Pending);
+    if (Decision == Verdict::Ignored)
+      continue;
+    News.push_back({Version.Path_, Version.Revision_, Decision == Verdict::Refused});
+    if (Decision == Verdict::Accepted)
+      Out.emplace_back(DocumentAccepted{Version.Path_, Version.Revision_, std::move(Parsed.Body_)});
+    else
+      Out.emplace_back(
+          DocumentRefused{Version.Path_, Version.Revision_, std::move(Parsed.Errors_)});
+  }
+  if (News.empty())
+    return;
+  const std::vector<PlatformStamp> Stamps = freshStamps(Now);
+  for (const std::vector<HostId> *Hosts : {&Neighbours_, &RemoteReaders_})
+    for (const HostId &To : *Hosts)
+      if (To != From)
+        announce(To, Stamps, News, Out);
+}
+
+void ConfigSpread::pullMissing(TimePoint Now, const HostId &From,
+                               const std::vector<DocumentVersion> &Versions, ConfigEffects &Out) {
+  std::vector<DocumentVersion> Wanted;
+  for (const DocumentVersion &Version : Versions) {
+    if (!Store_.lacks(Version))
+      continue;
+    const auto [Position, Created] =
+        Pulls_.try_emplace(Version.Path_, PendingPull{Version, {From}, Now, 0});
+    PendingPull &Pending = Position->second;
+    if (!Created) {
+      if (Pending.Version_.Revision_ >= Version.Revision_) {
+        // A further announcer is only a fallback, so that a document is received about once.
+        auto &Sources = Pending.Sources_;
+        if (Sources.size() < MaxPullSources &&
+            std::find(Sources.begin(), Sources.end(), From) == Sources.end())
+          Sources.push_back(From);
+        continue;
+      }
+      Pending = PendingPull{Version, {From}, Now, 0};
+    }
+    Wanted.push_back(Version);
+  }
+  pull(From, Wanted, Out);
+}
+
+void ConfigSpread::retryPulls(TimePoint Now, ConfigEffects &Out) {
+  std::map<HostId, std::vector<DocumentVersion>> Again;
+  for (auto Position = Pulls_.begin(); Position != Pulls_.end();) {
+    PendingPull &Pending = Position->second;
+    if (Now - Pending.Sent_ < PullTimeout) {
+      ++Position;
+    } else if (++Pending.Attempts_ == MaxPullAttempts) {
+      // The periodic digest finds the gap again, on another host.
+      Position = Pulls_.erase(Position);
+    } else {
+      Pending.Sent_ = Now;
+      Again[Pending.Sources_[static_cast<std::size_t>(Pending.Attempts_) % Pending.Sources_.size()]]
+          .push_back(Pending.Version_);
+      ++Position;
+    }
+  }
+  for (const auto &[To, Wanted] : Again)
+    pull(To, Wanted, Out);
+}
+
+ConfigDigest ConfigSpread::makeDigest(TimePoint Now, std::uint8_t Depth) const {
+  ConfigDigest Digest;
+  Digest.Depth_ = Depth;
+  Digest.Ready_ = Ready_;
+  Digest.Reader_ = readRecently(Now);
+  if (Depth == 0) {
+    Digest.Stamps_ = freshStamps(Now);
+    Digest.Covered_ = Covered_;
+    Digest.Nodes_.push_back({0, Store_.digest(0, 0)});
+  }
+  return Digest;
+}
+
+void ConfigSpread::on(TimePoint Now, const HostId &From, const ConfigDigest &Message,
+                      ConfigEffects &Out) {
+  noteStamps(Now, Message.Stamps_);
+  const std::size_t Limit = Message.Depth_ == 0   ? 1
+                            : Message.Depth_ == 1 ? DocumentStore::Fanout
+                                                  : DocumentStore::Buckets;
+  std::vector<std::uint16_t> Different;
+  for (const DigestNode &Node : Message.Nodes_)
+    if (Node.Index_ < Limit && Store_.digest(Message.Depth_, Node.Index_) != Node.Hash_)
+      Different.push_back(Node.Index_);
+  if (!Different.empty()) {
+    NextDigest_ = std::min(NextDigest_, Now + RepairInterval);
+    answerDigest(Now, From, Message, Different, Out);
+    return;
+  }
+  if (Message.Depth_ != 0)
+    return;
+  // Equal versions mean equal coverage; a new reader then need not read everything again.
+  Covered_ = std::max(Covered_, Message.Covered_);
+  confirm(From, Message.Ready_, Message.Reader_, Out);
+  if (Message.Ask_)
+    Out.emplace_back(SendConfig{From, makeDigest(Now, 0)});
+}
+
+void ConfigSpread::answerDigest(TimePoint Now, const HostId &From, const ConfigDigest &Message,
+                                const std::vector<std::uint16_t> &Different, ConfigEffects &Out) {
+  if (Message.Depth_ >= DocumentStore::BucketDepth) {
+    sendVersions(Now, From, Different, Out);
+    return;
+  }
+  ConfigDigest Answer = makeDigest(Now, static_cast<std::uint8_t>(Message.Depth_ + 1));
+  for (const std::uint16_t Index : Different) {
+    for (std::size_t Child = 0; Child < DocumentStore::Fanout; ++Child) {
+      const std::size_t Node = Index * DocumentStore::Fanout + Child;
+      Answer.Nodes_.push_back(
+          {static_cast<std::uint16_t>(Node), Store_.digest(Answer.Depth_, Node)});
+    }
+  }
+  Out.emplace_back(SendConfig{From, std::move(Answer)});
+}
+
+void ConfigSpread::sendVersions(TimePoint Now, const HostId &To,
+                                const std::vector<std::uint16_t> &Buckets, ConfigEffects &Out) {
+  ConfigVersions Part;
+  const auto Flush = [&] {
+    if (Part.Buckets_.empty())
+      return;
+    Part.Ready_ = Ready_;
+    Part.Reader_ = readRecently(Now);
+    Out.emplace_back(SendConfig{To, std::move(Part)});
+    Part = ConfigVersions();
+  };
+  for (const std::uint16_t Bucket : Buckets) {
+    std::vector<DocumentVersion> Versions = Store_.versionsIn(Bucket);
+    if (Part.Versions_.size() + Versions.size() > MaxVersionsPerMessage)
+      Flush();
+    Part.Buckets_.push_back(Bucket);
+    Part.Versions_.insert(Part.Versions_.end(), std::make_move_iterator(Versions.begin()),
+                          std::make_move_iterator(Versions.end()));
+  }
+  Flush();
+}
+
+void ConfigSpread::on(TimePoint Now, const HostId &From, const ConfigVersions &Message,
+                      ConfigEffects &Out) {
+  pullMissing(Now, From, Message.Versions_, Out);
+  std::map<std::pair<std::string, bool>, Revision> Theirs;
+  for (const DocumentVersion &Version : Message.Versions_)
+    Theirs[{Version.Path_, Version.Refused_}] = Version.Revision_;
+  std::vector<DocumentVersion> News;
+  for (const std::uint16_t Bucket : Message.Buckets_) {
+    if (Bucket >= DocumentStore::Buckets)
+      continue;
+    for (DocumentVersion &Version : Store_.versionsIn(Bucket)) {
+      const auto Found = Theirs.find({Version.Path_, Version.Refused_});
+      if (Found == Theirs.end() || Found->second < Version.Revision_)
+        News.push_back(std::move(Version));
+    }
+  }
+  announce(From, {}, News, Out);
+}
+
+void ConfigSpread::sendDigests(TimePoint Now, ConfigEffects &Out) {
+  if (Now < NextDigest_)
+    return;
+  NextDigest_ = Now + DigestInterval * 3 / 4 + randomUpTo(DigestInterval / 2);
+  if (const HostId *To = randomHost(Neighbours_))
+    Out.emplace_back(SendConfig{*To, makeDigest(Now, 0)});
+  if (const HostId *To = randomHost(RemoteReaders_))
+    Out.emplace_back(SendConfig{*To, makeDigest(Now, 0)});
+}
+
+void ConfigSpread::askPeers(TimePoint Now, ConfigEffects &Out) {
+  if (Ready_)
+    return;
+  if (Now - Started_ >= StartLimit) {
+    open(Out);
+    return;
+  }
+  if (Now < NextAsk_)
+    return;
+  NextAsk_ = Now + AskInterval;
+  std::set<HostId> Asked(Neighbours_.begin(), Neighbours_.end());
+  for (std::size_t Count = 0; Count < AskedPerRound; ++Count)
+    if (const HostId *Peer = randomHost(StartPeers_))
+      Asked.insert(*Peer);
+  // Each round asks other data centres, because the own one may be cut off or may hold nothing.
+  std::vector<const DataCentreHosts *> Others;
+  for (const auto &[Name, Hosts] : DataCentres_)
+    if (Name != Settings_.DataCentre_)
+      Others.push_back(&Hosts);
+  for (std::size_t Count = 0; Count < AskedPerRound && !Others.empty(); ++Count)
+    if (const HostId *Peer = randomHost(Others[Settings_.Random_() % Others.size()]->Live_))
+      Asked.insert(*Peer);
+  Asked.erase(Settings_.Self_);
+  for (const HostId &To : Asked) {
+    if (Confirmed_.count(To) != 0)
+      continue;
+    ConfigDigest Digest = makeDigest(Now, 0);
+    Digest.Ask_ = true;
+    Out.emplace_back(SendConfig{To, std::move(Digest)});
+  }
+}
+
+void ConfigSpread::confirm(const HostId &From, bool PeerReady, bool PeerReader,
+                           ConfigEffects &Out) {
+  // A peer that is itself starting may hold nothing, or only a stale answer of the platform.
+  if (Ready_ || !PeerReady)
+    return;
+  Confirmed_.insert(From);
+  if (PeerReader || Confirmed_.size() >= ConfirmationsNeeded)
+    open(Out);
+}
+
+void ConfigSpread::open(ConfigEffects &Out) {
+  Ready_ = true;
+  Confirmed_.clear();
+  Out.emplace_back(ConfigReady{});
+}
+
+ConfigSpreadDump ConfigSpread::dump() const {
+  return {Ready_, IsReader_, Rank_, Covered_, Neighbours_, RemoteReaders_, Store_.states()};
+}
+
+Duration ConfigSpread::randomUpTo(Duration Limit) const {
+  return Duration(static_cast<Duration::rep>(Settings_.Random_() %
+                                             (static_cast<std::uint64_t>(Limit.count()) + 1)));
+}
+
+const HostId *ConfigSpread::randomHost(const std::vector<HostId> &Hosts) const {
+  return Hosts.empty() ? nullptr : &Hosts[Settings_.Random_() % Hosts.size()];
+}
+
+} // namespace bronzestand
