Refuse requests whose length or host is stated in an ambiguous way

Cause: the HTTP parser accepts 'Content-Length: 5, 5' and treats 'Transfer-Encoding: chunked, identity' as an empty body, so a second request could hide in a body. Change: the server refuses them as bad_request, as well as requests without exactly one Host; adds tests of pipelining, chunked bodies, size limits, truncated bodies, slow senders and callers that go away.

--- a/src/node/http_server.cpp
+++ b/src/node/http_server.cpp
@@ -1,5 +1,8 @@
 #include "node/http_server.h"
 
+#include <algorithm>
+#include <iterator>
+
 #include <sys/socket.h>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -47,6 +50,23 @@
   return Refusal::BadRequest;
 }
 
+/// Tells whether the length of the body and the host are stated in one way only. The parser lets
+/// some other forms pass, which a second parser may read differently.
+bool isUnambiguous(const http::request<http::string_body> &Message) {
+  const auto Length = Message.equal_range(http::field::content_length);
+  if (std::distance(Length.first, Length.second) > 1)
+    return false;
+  const auto Stated = Message[http::field::content_length];
+  if (std::any_of(Stated.begin(), Stated.end(), [](char C) { return C < '0' || C > '9'; }))
+    return false;
+  const auto Encoding = Message.equal_range(http::field::transfer_encoding);
+  if (std::distance(Encoding.first, Encoding.second) > 1)
+    return false;
+  if (Encoding.first != Encoding.second && !beast::iequals(Encoding.first->value(), "chunked"))
+    return false;
+  return Message.version() < 11 || Message.count(http::field::host) == 1;
+}
+
 bool isParseError(const error_code &Failure) {
   return Failure.category() == http::make_error_code(http::error::bad_method).category() &&
          Failure != http::error::end_of_stream && Failure != http::error::partial_message;
@@ -147,6 +167,10 @@
 
 void Session::handle() {
   auto Message = Parser_->release();
+  if (!isUnambiguous(Message)) {
+    refuse(Refusal::BadRequest);
+    return;
+  }
   KeepAlive_ = Message.keep_alive();
   HttpRequest Request;
   Request.Method_ = std::string(Message.method_string());
--- /dev/null
+++ b/tests/unit/http_server_test.cpp
@@ -0,0 +1,170 @@
+#include "node/http_server.h"
+
+#include <future>
+#include <thread>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+using namespace bronzestand;
+using namespace bronzestand::node;
+using boost::asio::ip::tcp;
+
+namespace {
+
+std::uint16_t freePort() {
+  boost::asio::io_context Io;
+  const tcp::acceptor Free(Io, {boost::asio::ip::make_address("127.0.0.1"), 0});
+  return Free.local_endpoint().port();
+}
+
+/// A server in a thread of its own that echoes method, target and body.
+struct ServerFixture {
+  ServerFixture() {
+    Address_ = {"127.0.0.1", freePort()};
+    std::promise<absl::Status> Started;
+    Thread_ = std::thread([this, &Started] {
+      HttpServerLimits Limits;
+      Limits.BodyBytes_ = 1000;
+      Limits.ReadTimeout_ = std::chrono::seconds(1);
+      HttpServer Server(Io_, Address_, Limits,
+                        [this](const HttpRequest &Request, const HttpExchangePtr &Exchange) {
+                          handle(Request, Exchange);
+                        });
+      Started.set_value(Server.start());
+      const auto Guard = boost::asio::make_work_guard(Io_);
+      Io_.run();
+    });
+    REQUIRE(Started.get_future().get().ok());
+  }
+  ~ServerFixture() {
+    Io_.stop();
+    Thread_.join();
+  }
+  ServerFixture(const ServerFixture &) = delete;
+  ServerFixture &operator=(const ServerFixture &) = delete;
+
+  void handle(const HttpRequest &Request, const HttpExchangePtr &Exchange) {
+    ++Handled_;
+    if (Request.Target_ == "/slow") {
+      Held_ = Exchange;
+      Exchange->onCancelled([this] {
+        ++Cancelled_;
+        Held_ = nullptr;
+      });
+      return;
+    }
+    Exchange->respond({200, {}, Request.Method_ + " " + Request.Target_ + " " + Request.Body_});
+  }
+
+  /// Sends a text and returns all that the server answers until it closes the connection.
+  std::string exchange(const std::string &Text, bool CloseSending = true) {
+    boost::asio::io_context Io;
+    tcp::socket Socket(Io);
+    Socket.connect({boost::asio::ip::make_address(Address_.Address_), Address_.Port_});
+    boost::system::error_code Ignored;
+    boost::asio::write(Socket, boost::asio::buffer(Text), Ignored);
+    if (CloseSending)
+      Socket.shutdown(tcp::socket::shutdown_send, Ignored);
+    std::string Answer;
+    boost::asio::read(Socket, boost::asio::dynamic_buffer(Answer), Ignored);
+    return Answer;
+  }
+
+  static bool has(const std::string &Text, const std::string &Part) {
+    return Text.find(Part) != std::string::npos;
+  }
+
+  boost::asio::io_context Io_;
+  Endpoint Address_;
+  std::thread Thread_;
+  std::atomic<int> Handled_{0};
+  std::atomic<int> Cancelled_{0};
+  HttpExchangePtr Held_;
+};
+
+} // namespace
+
+// Guards against answers out of order, or a second request that is lost.
+TEST_CASE_METHOD(ServerFixture, "server_pipelined_requests_are_answered_in_order") {
+  const std::string Answer = exchange("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n"
+                                      "POST /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc"
+                                      "GET /3 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n",
+                                      false);
+  const auto First = Answer.find("GET /1");
+  const auto Second = Answer.find("POST /2 abc");
+  const auto Third = Answer.find("GET /3");
+  CHECK(First < Second);
+  CHECK(Second < Third);
+  CHECK(Third != std::string::npos);
+}
+
+TEST_CASE_METHOD(ServerFixture, "server_chunked_body_is_read_whole") {
+  const std::string Answer =
+      exchange("POST /c HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n"
+               "\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n",
+               false);
+  CHECK(has(Answer, "POST /c abcde"));
+}
+
+// Guards against shapes that two parsers read differently, which lets a request hide in another.
+TEST_CASE_METHOD(ServerFixture, "server_ambiguous_length_is_refused_as_not_run") {
+  const std::string Body = "0\r\n\r\nGET /hidden HTTP/1.1\r\nHost: a\r\n\r\n";
+  for (const std::string &Headers :
+       {std::string("Content-Length: 3\r\nContent-Length: 5\r\n"),
+        std::string("Content-Length: 5\r\nTransfer-Encoding: chunked\r\n"),
+        std::string("Transfer-Encoding: chunked\r\nContent-Length: 5\r\n"),
+        std::string("Content-Length: -1\r\n"), std::string("Content-Length: 5, 5\r\n"),
+        std::string("Content-Length : 5\r\n"),
+        std::string("Transfer-Encoding: chunked, identity\r\n")}) {
+    INFO(Headers);
+    const std::string Answer =
+        exchange("POST /x HTTP/1.1\r\nHost: a\r\n" + Headers + "\r\n" + Body, true);
+    CHECK(has(Answer, "Bronzestand-Outcome: not-run"));
+    CHECK_FALSE(has(Answer, "/hidden"));
+  }
+  CHECK(Handled_ == 0);
+}
+
+TEST_CASE_METHOD(ServerFixture, "server_oversized_input_is_refused_by_type") {
+  const std::string LongHeader = "X-Long: " + std::string(20'000, 'x') + "\r\n";
+  CHECK(has(exchange("GET / HTTP/1.1\r\nHost: a\r\n" + LongHeader + "\r\n"), "header_too_large"));
+  CHECK(has(exchange("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2000\r\n\r\n"),
+            "body_too_large"));
+  CHECK(has(exchange("GET / HTTP/1.1\r\n\r\n"), "bad_request"));
+  CHECK(has(exchange("nonsense\r\n\r\n"), "bad_request"));
+  CHECK(Handled_ == 0);
+}
+
+// Guards against a body that was cut short and is passed on as whole.
+TEST_CASE_METHOD(ServerFixture, "server_truncated_body_is_not_handled") {
+  exchange("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nabc");
+  exchange("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab");
+  CHECK(Handled_ == 0);
+}
+
+// Guards against slow senders that hold connections.
+TEST_CASE_METHOD(ServerFixture, "server_slow_sender_is_dropped") {
+  const auto Start = std::chrono::steady_clock::now();
+  exchange("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nabc", false);
+  CHECK(std::chrono::steady_clock::now() - Start < std::chrono::seconds(4));
+  CHECK(Handled_ == 0);
+}
+
+// Guards against work that goes on for a caller who has gone away.
+TEST_CASE_METHOD(ServerFixture, "server_caller_gone_cancels_the_request") {
+  {
+    boost::asio::io_context Io;
+    tcp::socket Socket(Io);
+    Socket.connect({boost::asio::ip::make_address(Address_.Address_), Address_.Port_});
+    boost::asio::write(Socket, boost::asio::buffer("GET /slow HTTP/1.1\r\nHost: a\r\n\r\n"));
+    while (Handled_ == 0)
+      std::this_thread::yield();
+  }
+  const auto End = std::chrono::steady_clock::now() + std::chrono::seconds(2);
+  while (Cancelled_ == 0 && std::chrono::steady_clock::now() < End)
+    std::this_thread::yield();
+  CHECK(Cancelled_ == 1);
+}
