--- a/tests/integration/fleet.cpp
+++ b/tests/integration/fleet.cpp
@@ -154,9 +154,7 @@
   Nodes_[Host] = std::make_unique<Process>("node " + Host, "bronzestandd",
                                            std::vector<std::string>{"--settings", File});
   const bool Started = waitFor([&] { return state(Host).is_object(); }, StartLimit);
-  // The destructor, which shows the logs, does not run if this is called by the constructor.
-  if (!Started)
-    WARN(logs());
+  INFO(Nodes_[Host]->logTail());
   REQUIRE(Started);
 }
 
