Send fewer messages to even out pools of team limits

Cause: a low pool asked every 30 ms although no other pool had tokens to spare, and a node with rare calls returned leases that had long ended. Change: a pool asks again after 250 ms if the fullest other pool had no more than itself; demand older than a lease term needs no return. The 2,000 schedules and the refusal cases pass.

--- a/src/engine/team_limits_broker.cpp
+++ b/src/engine/team_limits_broker.cpp
@@ -311,6 +311,10 @@
         std::max_element(Lenders.begin(), Lenders.end(), [&](const HostId &A, const HostId &B) {
           return Team.SpotBulk_[A].Granted_ < Team.SpotBulk_[B].Granted_;
         });
+    // Where the fullest pool had no more than this one, none of them has tokens to spare.
+    const detail::Borrowing &Loan = Team.SpotBulk_[*Best];
+    if (Loan.Granted_ < 2 - Missing && Now < Loan.Asked_ + Settings_.BulkRenewal_)
+      return;
     Lenders = {*Best};
   }
   for (const HostId &Host : Lenders) {
--- a/src/engine/team_limits_consumer.cpp
+++ b/src/engine/team_limits_consumer.cpp
@@ -204,7 +204,9 @@
   double Tokens = Team.Bucket_.Level_;
   for (auto &[Host, Lease] : std::exchange(Team.Leases_, {})) {
     // Also after the end of the last lease, so that the broker drops this node's demand.
-    if (Lease.Pending_ || Lease.Holding_.Stamp_ == TimePoint{})
+    // A demand reported longer ago than a lease term was dropped already.
+    if (Lease.Pending_ || Lease.Holding_.Stamp_ == TimePoint{} ||
+        (Lease.Holding_.at(Now) <= 0 && Now > Lease.Asked_ + Settings_.LeaseTerm_))
       continue;
     const double Part = std::min(Tokens, Lease.Holding_.at(Now) * Team.Burst_);
     Tokens -= Part;
