Let a restarted host use its team limit share after one second

Cause: a restarted owner waited 10.8 s for the loans of its earlier run, although the broker that held them answers its join. Change: a broker drops an owner's loans of an earlier run before it answers the join of the new one. Once all counted hosts have answered, only leases and bulk loans of before are left, which end within 1 s. Hosts that do not answer still cost the whole term.

--- a/include/bronzestand/team_limits.h
+++ b/include/bronzestand/team_limits.h
@@ -194,6 +194,7 @@
   double Fraction_ = 0;
   double Rate_ = 0; ///< 0 on a spot loan: the lender keeps the accrual
   TimePoint End_{}, Stamp_{};
+  Incarnation Lender_ = 0; ///< run of the owner; 0 on loans between brokers and on leases
   double rateAt(TimePoint Time) const { return Time < End_ ? Rate_ : 0; }
   double at(TimePoint Time) const { return Time < End_ ? Fraction_ : 0; }
 };
@@ -304,6 +305,7 @@
   void sendJoins(TimePoint Now);
   bool ownRightUsable(TimePoint Now) const;
   bool poolUsable(TimePoint Now) const;
+  void dropEarlierLoans(TimePoint Now, const HostId &From, Incarnation Run);
   bool previousLoansOver(TimePoint Now) const;
   void checkJoins(TimePoint Now);
   void noteRun(const HostId &From, Incarnation Run);
@@ -362,7 +364,7 @@
   HostId JoinCursor_;
   TimePoint JoinAt_{};
   bool JoinComplete_ = false, HeldBefore_ = false, OthersActive_ = false;
-  bool RestartsSeen_ = false;
+  bool RestartsSeen_ = false, AllAnswered_ = false;
   TimePoint JoinedAt_{};
   std::uint32_t PreviousCount_ = 0;
   std::map<HostId, std::uint32_t> OwnersCount_; ///< largest count of each lending owner
--- a/src/engine/team_limits_broker.cpp
+++ b/src/engine/team_limits_broker.cpp
@@ -59,7 +59,8 @@
     if (Team.Shard_ == Message.Shard_)
       advancePool(Now, Team);
   Held = {Message.Fraction_, Message.Fraction_,
-          Message.Stamp_ + scaled(Message.Term_, Settings_.BorrowerPart_), Message.Stamp_};
+          Message.Stamp_ + scaled(Message.Term_, Settings_.BorrowerPart_), Message.Stamp_,
+          Message.Incarnation_};
   if (Message.Fraction_ > 0) {
     std::uint32_t &Count = OwnersCount_[From];
     Count = std::max(Count, static_cast<std::uint32_t>(1.0 / Message.Fraction_ + 1e-6));
--- a/src/engine/team_limits_owner.cpp
+++ b/src/engine/team_limits_owner.cpp
@@ -85,7 +85,31 @@
 }
 
 bool TeamLimits::previousLoansOver(TimePoint Now) const {
-  return !HeldBefore_ || Now >= Start_ + Settings_.OwnerTerm_ + Settings_.BulkTerm_;
+  if (!HeldBefore_)
+    return true;
+  // Hosts that answered a join stopped lending on the loans of an earlier run, so only leases and
+  // bulk loans of before are left. Hosts that did not answer may use such a loan to its end.
+  if (AllAnswered_ && Now >= JoinedAt_ + std::max(Settings_.LeaseTerm_, Settings_.BulkTerm_))
+    return true;
+  return Now >= Start_ + Settings_.OwnerTerm_ + Settings_.BulkTerm_;
+}
+
+// A broker gives up the loans of an owner's earlier run when it confirms the new run's join, so
+// that the owner need not wait for the end of their term.
+void TeamLimits::dropEarlierLoans(TimePoint Now, const HostId &From, Incarnation Run) {
+  for (std::size_t Index = 0; Index < Shards_.size(); ++Index) {
+    auto &Owners = Shards_[Index].Owners_;
+    const auto It = Owners.find(From);
+    if (It == Owners.end() || It->second.Lender_ >= Run)
+      continue;
+    for (auto &[Name, Team] : Teams_)
+      if (Team.Shard_ == Index)
+        advancePool(Now, Team);
+    Owners.erase(It);
+    for (auto &[Name, Team] : Teams_)
+      if (Team.Shard_ == Index)
+        advancePool(Now, Team);
+  }
 }
 
 bool TeamLimits::ownRightUsable(TimePoint Now) const {
@@ -111,6 +135,7 @@
     if (Host != Self_ && (It == Joined_.end() || It->second < Counted_.size()))
       return;
   }
+  AllAnswered_ = true;
   JoinComplete_ = true;
   JoinedAt_ = Now;
 }
@@ -165,6 +190,7 @@
     const auto It = Shard.Owners_.find(From);
     Answer.HoldsLoan_ |= It != Shard.Owners_.end() && It->second.at(Now) > 0;
   }
+  dropEarlierLoans(Now, From, Message.Incarnation_);
   for (const auto &[Name, Team] : Teams_) {
     const auto Lease = Team.Leases_.find(From);
     const auto Bulk = Team.Bulk_.find(From);
