Choose hosts with the balancer

Cause: the router chose hosts by rendezvous hash over the list, so slow, failing and dead hosts kept an equal share, and a leaving host got calls until the list said so.

Change: HostChoice feeds the balancer with the host lists and with the latency, outcome and refusal of each try. A host that answers that it is leaving gets no new calls until a later incarnation. A call that was never written keeps its attempt allowance, a request of which a try may have run is no longer reported as not run, and a cancelled call is not retried. The fingerprint covers the whole target.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -6,6 +6,7 @@
 #include "node/clock.h"
 #include "node/config_part.h"
 #include "node/executor.h"
+#include "node/host_choice.h"
 #include "node/http_server.h"
 #include "node/peer_links.h"
 #include "node/platform_reader.h"
@@ -33,8 +34,8 @@
   Impl(boost::asio::io_context &Io, Settings Config)
       : Io_(Io), Config_(std::move(Config)), Run_(wallMicroseconds()), Log_(makeLogger("node")),
         Timer_(Io), Links_(Io, Config_, Run_), Reader_(Io, Config_), Documents_(Reader_),
-        Executor_(Io, Config_, Documents_, Contexts_),
-        Router_({Io, Config_, Documents_, Contexts_, Links_, Executor_}, Run_),
+        Executor_(Io, Config_, Documents_, Contexts_), Hosts_(Config_, Documents_, Run_),
+        Router_({Io, Config_, Documents_, Contexts_, Links_, Executor_, Hosts_}, Run_),
         CallerServer_(Io, Config_.CallerListen_, {},
                       [this](HttpRequest Request, const HttpExchangePtr &Exchange) {
                         Router_.handleCaller(std::move(Request), Exchange);
@@ -151,6 +152,7 @@
   PlatformReader Reader_;
   ConfigPart Documents_;
   Executor Executor_;
+  HostChoice Hosts_;
   Router Router_;
   HttpServer CallerServer_;
   HttpServer EgressServer_;
--- a/src/node/routed_call.cpp
+++ b/src/node/routed_call.cpp
@@ -42,9 +42,13 @@
 void RoutedCall::send() {
   Host_ = Owner_.chooseHost(Call_, Tried_);
   if (Host_.empty()) {
-    finish(Answer::refused(Call_.Id_, Refusal::NoBackendServer));
+    const bool AllBusy = Tried_.empty() && Owner_.Env_.Hosts_.hasHosts(Call_.Service_);
+    finish(Answer::refused(Call_.Id_, AllBusy ? Refusal::Overloaded : Refusal::NoBackendServer));
     return;
   }
+  Owner_.Env_.Hosts_.started(Host_);
+  TryRuns_ = true;
+  TryStarted_ = now();
   ++Try_;
   Link_ = 0;
   Tried_.insert(Host_);
@@ -66,8 +70,11 @@
   if (Done_ || Try != Try_)
     return;
   Link_ = Link;
-  if (Link == 0)
-    retryOrFinish(Answer::refused(Call_.Id_, Refusal::NoBackendServer));
+  if (Link != 0)
+    return;
+  Answer Result = Answer::refused(Call_.Id_, Refusal::NoBackendServer);
+  Result.UnusedAttempts_ = Call_.Attempts_; // the call was never written
+  retryOrFinish(Result);
 }
 
 void RoutedCall::onAnswer(const Answer &Result) {
@@ -85,18 +92,30 @@
 }
 
 bool RoutedCall::mayRetry(const Answer &Result) const {
-  if (Try_ >= MaxTries || timeLeft() <= Duration::zero())
+  if (Cancelled_ || Try_ >= MaxTries || timeLeft() <= Duration::zero())
     return false;
   if (Result.Outcome_ == Outcome::NotRun)
     return refusalInfo(Result.Refusal_).MayRetry_;
   return Call_.Idempotent_ && !Call_.AtMostOnce_;
 }
 
+void RoutedCall::endTry(const Answer &Result) {
+  if (!std::exchange(TryRuns_, false))
+    return;
+  const bool Ended = Cancelled_ && Result.Outcome_ != Outcome::Served;
+  // A cancelled call says nothing about its host.
+  Owner_.Env_.Hosts_.finished(Host_, now() - TryStarted_,
+                              Ended ? Answer::refused(Call_.Id_, Refusal::Cancelled) : Result);
+}
+
 void RoutedCall::retryOrFinish(const Answer &Result) {
+  endTry(Result);
   if (!mayRetry(Result)) {
     finish(Result);
     return;
   }
+  if (Result.Outcome_ == Outcome::Unknown)
+    MayHaveRun_ = Result.Refusal_;
   // Each try has an id of its own, so that a late answer to an earlier one is not taken for this.
   const Ptr Keep(this);
   Owner_.Running_.erase(Call_.Id_);
@@ -115,23 +134,33 @@
     return;
   const bool NeverSent = Host_ != Owner_.Env_.Config_.Host_ && Link_ == 0 && Try_ <= 1;
   const Refusal Reason = NeverSent ? Refusal::DeadlineTooShort : Refusal::TimedOut;
+  const Answer Result = Answer::refused(Call_.Id_, Reason);
+  endTry(Result); // before the cancellation, which would hide the time-out from the balancer
   cancel();
-  finish(Answer::refused(Call_.Id_, Reason));
+  finish(Result);
 }
 
 void RoutedCall::cancel() {
   if (Done_)
     return;
+  Cancelled_ = true;
   if (Host_ == Owner_.Env_.Config_.Host_)
     Owner_.Env_.Executor_.cancel(Host_, Call_.Id_);
   else if (Link_ != 0)
     Owner_.Env_.Links_.send(Host_, MessageKind::Cancel, Call_.Id_);
 }
 
-void RoutedCall::finish(const Answer &Result) {
+void RoutedCall::finish(const Answer &Last) {
   if (Done_)
     return;
   const Ptr Keep(this);
+  endTry(Last);
+  Answer Result = Last;
+  // "Not run" holds for the whole request only if no earlier try may have run.
+  if (MayHaveRun_ && Result.Outcome_ == Outcome::NotRun) {
+    Result.Outcome_ = Outcome::Unknown;
+    Result.Refusal_ = *MayHaveRun_;
+  }
   Done_ = true;
   Timer_.cancel();
   if (Parent_)
--- a/src/node/routed_call.h
+++ b/src/node/routed_call.h
@@ -34,6 +34,8 @@
   bool mayRetry(const Answer &Result) const;
   void retryOrFinish(const Answer &Result);
   void finish(const Answer &Result);
+  /// Reports the end of the present try to the balancer, once.
+  void endTry(const Answer &Result);
   Duration timeLeft() const;
 
   Router &Owner_;
@@ -47,6 +49,10 @@
   LinkId Link_ = 0; ///< link that it was sent over; 0 while it waits for a link
   std::uint32_t Try_ = 0;
   bool Done_ = false;
+  bool TryRuns_ = false;
+  bool Cancelled_ = false; ///< the caller has gone away
+  TimePoint TryStarted_;
+  std::optional<Refusal> MayHaveRun_; ///< end of an earlier try that may have run
 };
 
 } // namespace bronzestand::node
--- a/src/node/router.cpp
+++ b/src/node/router.cpp
@@ -3,10 +3,7 @@
 #include <algorithm>
 #include <charconv>
 
-#include <boost/algorithm/string/predicate.hpp>
-#include <xxhash.h>
-
-#include "bronzestand/rendezvous.h"
+#include "bronzestand/quarantine.h"
 #include "node/clock.h"
 #include "node/codec_call.h"
 #include "node/routed_call.h"
@@ -30,11 +27,6 @@
          std::all_of(Text.begin(), Text.end(), [](char C) { return C > ' ' && C <= '~'; });
 }
 
-std::uint64_t fingerprintOf(const TeamId &Team, const RouteSpec &Route, const std::string &Body) {
-  const std::string Text = Team.str() + "\n" + Route.Method_ + Route.Path_ + "\n" + Body;
-  return XXH3_64bits(Text.data(), Text.size());
-}
-
 } // namespace
 
 Router::Router(const Parts &Environment, Incarnation Run)
@@ -49,11 +41,15 @@
                           });
   });
   Env_.Links_.setHandler(MessageKind::Answer, [this](const Peer &From, const nlohmann::json &Body) {
-    onAnswer(From.Host_, Body.get<Answer>());
+    const auto Result = Body.get<Answer>();
+    Env_.Hosts_.observe(From.Host_, From.Incarnation_, Result.Leaving_);
+    onAnswer(From.Host_, Result);
   });
   Env_.Links_.setHandler(MessageKind::Cancel, [this](const Peer &From, const nlohmann::json &Body) {
     Env_.Executor_.cancel(From.Host_, Body.get<CallId>());
   });
+  Env_.Links_.addLinkUp(
+      [this](const Peer &Other) { Env_.Hosts_.observe(Other.Host_, Other.Incarnation_, false); });
   Env_.Links_.addLinkDown([this](const HostId &Host, LinkId Link) { onLinkDown(Host, Link); });
   return absl::OkStatus();
 }
@@ -156,7 +152,9 @@
   Partial.Id_ = ++LastCall_;
   Partial.Class_ = Route.Class_;
   Partial.Service_ = Route.Service_;
-  Partial.Fingerprint_ = fingerprintOf(Partial.Team_, Route, Request.Body_);
+  // The whole target counts: requests of a prefix route without a body differ only there.
+  Partial.Fingerprint_ =
+      fingerprintOf(Request.Method_ + " " + Request.Target_, Partial.Team_, Request.Body_);
   Partial.Method_ = std::move(Request.Method_);
   Partial.Target_ = std::move(Request.Target_);
   Partial.Headers_ = std::move(Request.Headers_);
@@ -167,20 +165,8 @@
   Item->start();
 }
 
-HostId Router::chooseHost(const Call &Request, const std::set<HostId> &Excluded) const {
-  std::vector<HostId> Candidates;
-  for (const auto &[Name, List] : Env_.Documents_.catalogue().hostLists()) {
-    if (List.Service_ != Request.Service_)
-      continue;
-    for (const HostSpec &Host : List.Hosts_)
-      if (!Host.Leaving_ && Excluded.count(Host.Id_) == 0)
-        Candidates.push_back(Host.Id_);
-  }
-  // Resends of an idempotency key go to the same host while the list stays the same.
-  const std::string Key =
-      Request.AtMostOnce_ ? Request.IdempotencyKey_ : std::to_string(Request.Id_);
-  const auto Best = topHosts(Key, Candidates, 1);
-  return Best.empty() ? HostId() : Best.front();
+HostId Router::chooseHost(const Call &Request, const std::set<HostId> &Excluded) {
+  return Env_.Hosts_.choose(Request, Excluded);
 }
 
 void Router::finished(CallId Id) { Running_.erase(Id); }
@@ -203,7 +189,10 @@
 }
 
 nlohmann::json Router::dump() const {
-  return {{"running", Running_.size()}, {"outcomes", Outcomes_}, {"draining", Draining_}};
+  return {{"running", Running_.size()},
+          {"outcomes", Outcomes_},
+          {"draining", Draining_},
+          {"hosts", Env_.Hosts_.dump()}};
 }
 
 } // namespace bronzestand::node
--- a/src/node/router.h
+++ b/src/node/router.h
@@ -11,6 +11,7 @@
 #include "node/caller_key.h"
 #include "node/config_part.h"
 #include "node/executor.h"
+#include "node/host_choice.h"
 #include "node/http_server.h"
 #include "node/part.h"
 #include "node/peer_links.h"
@@ -30,6 +31,7 @@
     CallContexts &Contexts_;
     PeerLinks &Links_;
     Executor &Executor_;
+    HostChoice &Hosts_;
   };
 
   Router(const Parts &Environment, Incarnation Run);
@@ -55,7 +57,7 @@
   void route(HttpRequest Request, const HttpExchangePtr &Exchange, Call Partial,
              const RouteSpec &Route, const std::shared_ptr<CallContext> &Parent);
   void finished(CallId Id);
-  HostId chooseHost(const Call &Request, const std::set<HostId> &Excluded) const;
+  HostId chooseHost(const Call &Request, const std::set<HostId> &Excluded);
   void onAnswer(const HostId &From, const Answer &Result);
   void onLinkDown(const HostId &Host, LinkId Link);
 
