Keep requests that crash backend servers from running

Cause: a request that crashes each backend server that runs it took one down at every resend.

Change: CrashGuard stands between the executor and the backend server. It detects crashes, lets suspects run alone, refuses quarantined requests and passes messages between the service's nodes. The answer to a lost call waits for the decision, so that the other nodes are told before the call is tried elsewhere.

--- /dev/null
+++ b/src/node/crash_guard.h
@@ -0,0 +1,88 @@
+#ifndef BRONZESTAND_NODE_CRASH_GUARD_H
+#define BRONZESTAND_NODE_CRASH_GUARD_H
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "bronzestand/quarantine.h"
+#include "node/config_part.h"
+#include "node/part.h"
+#include "node/peer_links.h"
+
+namespace bronzestand::node {
+
+/// Stands between the executor and the backend server: detects crashes of the backend server and
+/// keeps quarantined requests from running (design section 9).
+///
+/// A crash is assumed when the connection of a running call died and a new connection is refused
+/// ProbeDelay later; or when the connections of all running calls, at least two, died within that
+/// time, because a supervisor may have restarted the backend server already. One lost connection
+/// while the server still accepts others is no crash.
+class CrashGuard final : public Part {
+public:
+  /// Name of a call at this node: the node that sent it and its number there.
+  using CallKey = std::pair<HostId, CallId>;
+  /// Told once: nothing if the call may go to the backend server now, else why it may not.
+  using Entered = std::function<void(std::optional<Refusal> Reason)>;
+
+  CrashGuard(boost::asio::io_context &Io, const Settings &Config, ConfigPart &Documents,
+             PeerLinks &Links);
+
+  /// Asks to run a call. The answer may come before this returns.
+  void enter(const CallKey &Key, const Call &Request, Entered Done);
+  /// Ends a call, whether it runs or waits; does nothing for an unknown one.
+  void leave(const CallKey &Key, bool Served);
+  /// The connection of a running call died. Done is called when it is known whether the backend
+  /// server crashed, so that the call is not tried elsewhere before the other nodes are told.
+  void lost(const CallKey &Key, std::function<void()> Done);
+
+  std::string_view name() const override { return "quarantine"; }
+  absl::Status start() override;
+  void stop() override;
+  void tick(TimePoint Now) override;
+  nlohmann::json dump() const override;
+
+private:
+  struct Waiting {
+    CallKey Key_;
+    TeamId Team_;
+    Fingerprint Fingerprint_ = 0;
+    TimePoint Deadline_;
+    Entered Done_;
+  };
+
+  std::optional<Refusal> tryEnter(const Waiting &Item, bool &MustWait);
+  void admitWaiting();
+  void startProbe();
+  void probe();
+  void decide(bool Refused);
+  void send(const std::vector<QuarantineSend> &Messages);
+  void setPeers();
+
+  boost::asio::io_context &Io_;
+  const Settings &Config_;
+  ConfigPart &Documents_;
+  PeerLinks &Links_;
+  Logger Log_;
+  Quarantine Quarantine_;
+  boost::asio::steady_timer Timer_;
+  boost::asio::ip::tcp::socket Probe_;
+  bool Probing_ = false;
+  CallId LastNumber_ = 0;
+  std::map<CallKey, CallId> Running_;
+  std::map<CallKey, std::function<void()>> Lost_;
+  std::deque<Waiting> Waiting_;
+  std::uint64_t Crashes_ = 0;
+  std::uint64_t Refused_ = 0;
+  std::uint64_t Waited_ = 0;
+};
+
+} // namespace bronzestand::node
+
+#endif
--- a/src/node/executor.cpp
+++ b/src/node/executor.cpp
@@ -14,9 +14,9 @@
 } // namespace
 
 Executor::Executor(boost::asio::io_context &Io, const Settings &Config, const ConfigPart &Documents,
-                   CallContexts &Contexts)
-    : Config_(Config), Documents_(Documents), Contexts_(Contexts), Log_(makeLogger("executor")),
-      Backend_(Io, Config.BackendServer_, MaxBackendConnections) {}
+                   CallContexts &Contexts, CrashGuard &Guard)
+    : Config_(Config), Documents_(Documents), Contexts_(Contexts), Guard_(Guard),
+      Log_(makeLogger("executor")), Backend_(Io, Config.BackendServer_, MaxBackendConnections) {}
 
 void Executor::submit(const HostId &Caller, Call Request, Reply Done) {
   const CallKey Key(Caller, Request.Id_);
@@ -38,6 +38,21 @@
 
 void Executor::dispatch(const CallKey &Key) {
   RunningCall &Item = Running_.at(Key);
+  Item.Deadline_ = now() + Item.Call_.TimeLeft_;
+  Guard_.enter(Key, Item.Call_, [this, Key](std::optional<Refusal> Reason) {
+    if (Reason)
+      finish(Key, Answer::refused(Key.second, *Reason));
+    else
+      run(Key);
+  });
+}
+
+void Executor::run(const CallKey &Key) {
+  const auto Found = Running_.find(Key);
+  if (Found == Running_.end())
+    return; // ended while it waited
+  RunningCall &Item = Found->second;
+  Item.Call_.TimeLeft_ = Item.Deadline_ - now();
   const Call &Current = Item.Call_;
   CallContext Context;
   Context.Request_ = Current.Request_;
@@ -77,6 +92,11 @@
   if (Found == Running_.end())
     return;
   const CallId Id = Found->second.Call_.Id_;
+  if (Result == HttpResult::Lost) {
+    Guard_.lost(Key,
+                [this, Key] { finish(Key, Answer::refused(Key.second, Refusal::ConnectionLost)); });
+    return;
+  }
   Answer Done;
   switch (Result) {
   case HttpResult::Answered:
@@ -106,6 +126,7 @@
     return;
   const RunningCall Item = std::move(Found->second);
   Running_.erase(Found);
+  Guard_.leave(Key, Result.Outcome_ == Outcome::Served);
   const bool Ran = !Item.Token_.empty();
   Result.UnusedAttempts_ = Item.Call_.Attempts_;
   if (const auto Context = Contexts_.remove(Item.Token_))
@@ -121,7 +142,11 @@
 
 void Executor::cancel(const HostId &Caller, CallId Id) {
   const auto Found = Running_.find({Caller, Id});
-  if (Found != Running_.end())
+  if (Found == Running_.end())
+    return;
+  if (Found->second.Token_.empty()) // waits to run alone
+    finish(Found->first, Answer::refused(Id, Refusal::Cancelled));
+  else
     Backend_.cancel(Found->second.Request_);
 }
 
--- a/src/node/executor.h
+++ b/src/node/executor.h
@@ -7,6 +7,7 @@
 
 #include "node/call_contexts.h"
 #include "node/config_part.h"
+#include "node/crash_guard.h"
 #include "node/http_client.h"
 #include "node/part.h"
 
@@ -18,7 +19,7 @@
   using Reply = std::function<void(Answer Result)>;
 
   Executor(boost::asio::io_context &Io, const Settings &Config, const ConfigPart &Documents,
-           CallContexts &Contexts);
+           CallContexts &Contexts, CrashGuard &Guard);
 
   /// Takes a call. Reply is called once, unless the call is cancelled before.
   /// \param Caller node that sent the call; with the call's id it names the call.
@@ -40,16 +41,19 @@
     Call Call_;
     Reply Done_;
     std::string Token_;
+    TimePoint Deadline_;
     HttpClient::RequestNumber Request_ = 0;
   };
 
   void dispatch(const CallKey &Key);
+  void run(const CallKey &Key);
   void onBackendResult(const CallKey &Key, HttpResult Result, HttpResponse Response);
   void finish(const CallKey &Key, Answer Result);
 
   const Settings &Config_;
   const ConfigPart &Documents_;
   CallContexts &Contexts_;
+  CrashGuard &Guard_;
   Logger Log_;
   HttpClient Backend_;
   std::map<CallKey, RunningCall> Running_;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -5,6 +5,7 @@
 #include "node/call_contexts.h"
 #include "node/clock.h"
 #include "node/config_part.h"
+#include "node/crash_guard.h"
 #include "node/executor.h"
 #include "node/host_choice.h"
 #include "node/http_server.h"
@@ -34,7 +35,8 @@
   Impl(boost::asio::io_context &Io, Settings Config)
       : Io_(Io), Config_(std::move(Config)), Run_(wallMicroseconds()), Log_(makeLogger("node")),
         Timer_(Io), Links_(Io, Config_, Run_), Reader_(Io, Config_), Documents_(Reader_),
-        Executor_(Io, Config_, Documents_, Contexts_), Hosts_(Config_, Documents_, Run_),
+        Guard_(Io, Config_, Documents_, Links_),
+        Executor_(Io, Config_, Documents_, Contexts_, Guard_), Hosts_(Config_, Documents_, Run_),
         Router_({Io, Config_, Documents_, Contexts_, Links_, Executor_, Hosts_}, Run_),
         CallerServer_(Io, Config_.CallerListen_, {},
                       [this](HttpRequest Request, const HttpExchangePtr &Exchange) {
@@ -80,7 +82,9 @@
   }
 
 private:
-  std::vector<Part *> children() { return {&Links_, &Reader_, &Documents_, &Executor_, &Router_}; }
+  std::vector<Part *> children() {
+    return {&Links_, &Reader_, &Documents_, &Guard_, &Executor_, &Router_};
+  }
 
   std::optional<Endpoint> addressOf(const HostId &Host) const {
     const HostSpec *Spec = Documents_.catalogue().findHost(Host);
@@ -151,6 +155,7 @@
   PeerLinks Links_;
   PlatformReader Reader_;
   ConfigPart Documents_;
+  CrashGuard Guard_;
   Executor Executor_;
   HostChoice Hosts_;
   Router Router_;
