Count and bound the bytes that cross regions

Cause: calls between regions were neither counted nor bounded.

Change: LinkPart sets the node's share from the fleet document and the host lists, asks the budget before a call crosses regions, and counts answers and control traffic by the size of their frames. Bytes by kind are in the dump. A call whose hosts all refused reports the last refusal.

Result: balance_test with 0.1 Mbit/s: 16 of 16 calls to the far region counted, calls beyond the budget refused as overloaded and as nothing else.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -9,6 +9,7 @@
 #include "node/executor.h"
 #include "node/host_choice.h"
 #include "node/http_server.h"
+#include "node/link_part.h"
 #include "node/peer_links.h"
 #include "node/platform_reader.h"
 #include "node/router.h"
@@ -37,7 +38,8 @@
         Timer_(Io), Links_(Io, Config_, Run_), Reader_(Io, Config_), Documents_(Reader_),
         Guard_(Io, Config_, Documents_, Links_),
         Executor_(Io, Config_, Documents_, Contexts_, Guard_), Hosts_(Config_, Documents_, Run_),
-        Router_({Io, Config_, Documents_, Contexts_, Links_, Executor_, Hosts_}, Run_),
+        LinkBudget_(Config_, Documents_, Links_),
+        Router_({Io, Config_, Documents_, Contexts_, Links_, Executor_, Hosts_, LinkBudget_}, Run_),
         CallerServer_(Io, Config_.CallerListen_, {},
                       [this](HttpRequest Request, const HttpExchangePtr &Exchange) {
                         Router_.handleCaller(std::move(Request), Exchange);
@@ -83,7 +85,7 @@
 
 private:
   std::vector<Part *> children() {
-    return {&Links_, &Reader_, &Documents_, &Guard_, &Executor_, &Router_};
+    return {&Links_, &Reader_, &Documents_, &LinkBudget_, &Guard_, &Executor_, &Router_};
   }
 
   std::optional<Endpoint> addressOf(const HostId &Host) const {
@@ -158,6 +160,7 @@
   CrashGuard Guard_;
   Executor Executor_;
   HostChoice Hosts_;
+  LinkPart LinkBudget_;
   Router Router_;
   HttpServer CallerServer_;
   HttpServer EgressServer_;
--- a/src/node/peer_links.cpp
+++ b/src/node/peer_links.cpp
@@ -179,6 +179,7 @@
 
   std::array<MessageHandler, MessageKindCount> Handlers_;
   Resolver Resolver_;
+  SentCounter SentCounter_;
   std::vector<LinkDownCallback> LinkDown_;
   std::vector<LinkUpCallback> LinkUp_;
   Revision ConfigRevision_ = 0;
@@ -384,6 +385,8 @@
     ++Counter.Messages_;
     Counter.Bytes_ += Frame.size();
     Item.LastSent_ = now();
+    if (SentCounter_ && Item.Open_)
+      SentCounter_(Item.Peer_.Host_, Kind, Frame.size());
     return true;
   }
 
@@ -473,6 +476,7 @@
 void PeerLinks::setHandler(MessageKind Kind, MessageHandler Handler) {
   Impl_->Handlers_[static_cast<std::size_t>(Kind)] = std::move(Handler);
 }
+void PeerLinks::setSentCounter(SentCounter Count) { Impl_->SentCounter_ = std::move(Count); }
 void PeerLinks::setResolver(Resolver Find) { Impl_->Resolver_ = std::move(Find); }
 void PeerLinks::addLinkDown(LinkDownCallback Callback) {
   Impl_->LinkDown_.push_back(std::move(Callback));
--- a/src/node/peer_links.h
+++ b/src/node/peer_links.h
@@ -42,6 +42,9 @@
   void setResolver(Resolver Find);
   void addLinkDown(LinkDownCallback Callback);
   void addLinkUp(LinkUpCallback Callback);
+  /// Told of every message that is written, with its size.
+  using SentCounter = std::function<void(const HostId &To, MessageKind Kind, std::size_t Bytes)>;
+  void setSentCounter(SentCounter Count);
   /// Revisions that every message from now on carries.
   void setRevisions(Revision Config, Revision List);
   /// Starts a new epoch after this process was paused.
--- a/src/node/routed_call.cpp
+++ b/src/node/routed_call.cpp
@@ -42,8 +42,9 @@
 void RoutedCall::send() {
   Host_ = Owner_.chooseHost(Call_, Tried_);
   if (Host_.empty()) {
-    const bool AllBusy = Tried_.empty() && Owner_.Env_.Hosts_.hasHosts(Call_.Service_);
-    finish(Answer::refused(Call_.Id_, AllBusy ? Refusal::Overloaded : Refusal::NoBackendServer));
+    const bool AllBusy = Owner_.Env_.Hosts_.hasHosts(Call_.Service_);
+    const Refusal Reason = AllBusy ? Refusal::Overloaded : Refusal::NoBackendServer;
+    finish(Answer::refused(Call_.Id_, LastRefusal_.value_or(Reason)));
     return;
   }
   Owner_.Env_.Hosts_.started(Host_);
@@ -62,6 +63,12 @@
 }
 
 void RoutedCall::sendRemote() {
+  if (!Owner_.Env_.LinkBudget_.mayCall(Host_, Call_)) {
+    Answer Result = Answer::refused(Call_.Id_, Refusal::Overloaded);
+    Result.UnusedAttempts_ = Call_.Attempts_;
+    retryOrFinish(Result);
+    return;
+  }
   Owner_.Env_.Links_.send(Host_, MessageKind::Call, Call_,
                           [Self = Ptr(this), Try = Try_](LinkId Link) { Self->onSent(Try, Link); });
 }
@@ -116,6 +123,7 @@
   }
   if (Result.Outcome_ == Outcome::Unknown)
     MayHaveRun_ = Result.Refusal_;
+  LastRefusal_ = Result.Refusal_;
   // Each try has an id of its own, so that a late answer to an earlier one is not taken for this.
   const Ptr Keep(this);
   Owner_.Running_.erase(Call_.Id_);
--- a/src/node/routed_call.h
+++ b/src/node/routed_call.h
@@ -52,7 +52,8 @@
   bool TryRuns_ = false;
   bool Cancelled_ = false; ///< the caller has gone away
   TimePoint TryStarted_;
-  std::optional<Refusal> MayHaveRun_; ///< end of an earlier try that may have run
+  std::optional<Refusal> LastRefusal_; ///< why the last try ended
+  std::optional<Refusal> MayHaveRun_;  ///< end of an earlier try that may have run
 };
 
 } // namespace bronzestand::node
--- a/src/node/router.h
+++ b/src/node/router.h
@@ -13,6 +13,7 @@
 #include "node/executor.h"
 #include "node/host_choice.h"
 #include "node/http_server.h"
+#include "node/link_part.h"
 #include "node/part.h"
 #include "node/peer_links.h"
 
@@ -32,6 +33,7 @@
     PeerLinks &Links_;
     Executor &Executor_;
     HostChoice &Hosts_;
+    LinkPart &LinkBudget_;
   };
 
   Router(const Parts &Environment, Incarnation Run);
--- a/tests/integration/balance_test.cpp
+++ b/tests/integration/balance_test.cpp
@@ -40,7 +40,10 @@
       Request.Headers_ = {{"Authorization", "Bearer key-hotels"}};
       for (const HttpReply &Reply :
            httpCalls(Fleet_.callerAddress("entry"), std::vector<node::HttpRequest>(Batch, Request)))
-        Served += Reply.status() == 200 && Reply.outcome() == "served" ? 1 : 0;
+        if (Reply.status() == 200 && Reply.outcome() == "served")
+          ++Served;
+        else
+          ++Refusals_[Reply.refusal()];
     }
     return Served;
   }
@@ -50,6 +53,7 @@
   }
 
   Fleet Fleet_;
+  std::map<std::string, int> Refusals_;
 };
 
 } // namespace
@@ -95,3 +99,26 @@
   CHECK(run(16) == 16);
   CHECK(received("far") == 16);
 }
+
+// Guards against bytes between regions that are not counted, and against calls beyond the budget.
+TEST_CASE_METHOD(BalanceFixture, "balance_calls_between_regions_keep_to_the_budget") {
+  Fleet_.putHosts({"good-1", "good-2", "slow", "failing", "dead"});
+  REQUIRE(Fleet_.waitUntilInForce());
+  CHECK(run(16) == 16);
+  const auto Sent = Fleet_.state("entry")["link_budget"]["sent"];
+  CHECK(Sent["call"]["messages"] == 16);
+  CHECK(Sent["call"]["bytes"].get<int>() > 16 * 100);
+  CHECK(waitFor(
+      [&] {
+        return Fleet_.state("entry")["link_budget"]["sent"]["control"]["bytes"].get<int>() > 0;
+      },
+      std::chrono::seconds(3)));
+  CHECK(Fleet_.state("far")["link_budget"]["sent"]["answer"]["messages"] == 16);
+  Fleet_.put("fleet", "{key_salt: test-salt, cross_region_mbit: 0.1, "
+                      "regions: {western: [colombo], southern: [galle]}}");
+  REQUIRE(Fleet_.waitUntilInForce());
+  CHECK(run(160) < 160);
+  CHECK(Refusals_["overloaded"] > 0);
+  CHECK(Refusals_.size() == 1);
+  CHECK(Fleet_.state("entry")["link_budget"]["sent"]["call"]["refused_messages"].get<int>() > 0);
+}
