--- a/tests/integration/fleet.h
+++ b/tests/integration/fleet.h
@@ -20,7 +20,7 @@
   std::string Service_;
   std::string DataCentre_ = "colombo";
   std::string Region_ = "western";
-  std::vector<std::string> Children_ = {}; ///< child calls of the backend server, "GET /path"
+  std::vector<std::string> Children_ = {}; ///< child calls, "GET /path" or "/for=GET /path"
   std::string Slots_ = "32";
   std::string ServiceTimeUs_ = "1000";
   std::vector<std::string> BackendOptions_ = {};
@@ -57,7 +57,9 @@
   enum class PeerPath { ThroughProxy, Direct };
 
   /// \param Path Direct leaves the fault proxy out of the links; used for measurements.
-  explicit Fleet(std::vector<HostOptions> Hosts, PeerPath Path = PeerPath::ThroughProxy);
+  /// \param Disabled mechanisms that all nodes switch off, separated by commas.
+  explicit Fleet(std::vector<HostOptions> Hosts, PeerPath Path = PeerPath::ThroughProxy,
+                 std::string Disabled = {});
   ~Fleet();
   Fleet(const Fleet &) = delete;
   Fleet &operator=(const Fleet &) = delete;
@@ -117,6 +119,7 @@
   node::Endpoint PlatformAddress_;
   node::Endpoint ProxyControl_;
   std::string Directory_;
+  std::string Disabled_;
   std::unique_ptr<Process> Platform_;
   std::unique_ptr<Process> Proxy_;
   std::map<std::string, std::unique_ptr<Process>> Nodes_;
