Add metrics, recent requests and the tool's commands for nodes

Cause: operators could see neither times nor counters of a node, nor why a request was refused.

Change: a metrics part with histograms (time added by the node, whole request by class, queue) and counters by origin, class, team, outcome and refusal, in the dump and on /metrics. Teams and classes outside the configuration count as "other", also after their removal.

--- a/src/ctl/command.cpp
+++ b/src/ctl/command.cpp
@@ -8,10 +8,14 @@
 namespace bronzestand::ctl {
 namespace {
 
-const std::array<Command, 3> Commands{{
+const std::array<Command, 7> Commands{{
     {"check", "check documents and report all errors", CheckUsage, runCheck},
     {"diff", "show what changes between two sets of documents", DiffUsage, runDiff},
     {"hash-key", "print the hash of a key", HashKeyUsage, runHashKey},
+    {"dump", "print the state of a node", DumpUsage, runDump},
+    {"status", "show nodes as a table", StatusUsage, runStatus},
+    {"explain", "show how a recent request ended", ExplainUsage, runExplain},
+    {"top", "show nodes again and again", TopUsage, runTop},
 }};
 
 void printHelp(std::ostream &Out) {
--- a/src/ctl/command.h
+++ b/src/ctl/command.h
@@ -47,6 +47,14 @@
 ExitCode runDiff(const Arguments &Given, CommandIo &Io);
 extern const char *const HashKeyUsage;
 ExitCode runHashKey(const Arguments &Given, CommandIo &Io);
+extern const char *const DumpUsage;
+ExitCode runDump(const Arguments &Given, CommandIo &Io);
+extern const char *const StatusUsage;
+ExitCode runStatus(const Arguments &Given, CommandIo &Io);
+extern const char *const ExplainUsage;
+ExitCode runExplain(const Arguments &Given, CommandIo &Io);
+extern const char *const TopUsage;
+ExitCode runTop(const Arguments &Given, CommandIo &Io);
 
 } // namespace bronzestand::ctl
 
--- a/src/node/executor.cpp
+++ b/src/node/executor.cpp
@@ -14,8 +14,8 @@
 } // namespace
 
 Executor::Executor(boost::asio::io_context &Io, const Settings &Config, const ConfigPart &Documents,
-                   CallContexts &Contexts, CrashGuard &Guard)
-    : Config_(Config), Documents_(Documents), Contexts_(Contexts), Guard_(Guard),
+                   CallContexts &Contexts, CrashGuard &Guard, Metrics &Times)
+    : Config_(Config), Documents_(Documents), Contexts_(Contexts), Guard_(Guard), Times_(Times),
       Log_(makeLogger("executor")), Backend_(Io, Config.BackendServer_, MaxBackendConnections) {}
 
 void Executor::submit(const HostId &Caller, Call Request, Reply Done) {
@@ -25,6 +25,7 @@
   RunningCall &Item = Running_[Key];
   Item.Call_ = std::move(Request);
   Item.Done_ = std::move(Done);
+  Item.Submitted_ = now();
   const Call &Current = Item.Call_;
   if (Draining_)
     finish(Key, Answer::refused(Current.Id_, Refusal::ShuttingDown));
@@ -52,7 +53,8 @@
   if (Found == Running_.end())
     return; // ended while it waited
   RunningCall &Item = Found->second;
-  Item.Call_.TimeLeft_ = Item.Deadline_ - now();
+  Item.Sent_ = now();
+  Item.Call_.TimeLeft_ = Item.Deadline_ - Item.Sent_;
   const Call &Current = Item.Call_;
   CallContext Context;
   Context.Request_ = Current.Request_;
@@ -91,6 +93,7 @@
   const auto Found = Running_.find(Key);
   if (Found == Running_.end())
     return;
+  Found->second.BackendTime_ = now() - Found->second.Sent_;
   const CallId Id = Found->second.Call_.Id_;
   if (Result == HttpResult::Lost) {
     Guard_.lost(Key,
@@ -128,6 +131,8 @@
   Running_.erase(Found);
   Guard_.leave(Key, Result.Outcome_ == Outcome::Served);
   const bool Ran = !Item.Token_.empty();
+  if (Ran)
+    Times_.executed(now() - Item.Submitted_ - Item.BackendTime_, Item.Sent_ - Item.Submitted_);
   Result.UnusedAttempts_ = Item.Call_.Attempts_;
   if (const auto Context = Contexts_.remove(Item.Token_))
     Result.UnusedAttempts_ = Context->AttemptsLeft_;
--- a/src/node/executor.h
+++ b/src/node/executor.h
@@ -9,6 +9,7 @@
 #include "node/config_part.h"
 #include "node/crash_guard.h"
 #include "node/http_client.h"
+#include "node/metrics.h"
 #include "node/part.h"
 
 namespace bronzestand::node {
@@ -19,7 +20,7 @@
   using Reply = std::function<void(Answer Result)>;
 
   Executor(boost::asio::io_context &Io, const Settings &Config, const ConfigPart &Documents,
-           CallContexts &Contexts, CrashGuard &Guard);
+           CallContexts &Contexts, CrashGuard &Guard, Metrics &Times);
 
   /// Takes a call. Reply is called once, unless the call is cancelled before.
   /// \param Caller node that sent the call; with the call's id it names the call.
@@ -41,7 +42,10 @@
     Call Call_;
     Reply Done_;
     std::string Token_;
+    TimePoint Submitted_;
     TimePoint Deadline_;
+    TimePoint Sent_;
+    Duration BackendTime_{};
     HttpClient::RequestNumber Request_ = 0;
   };
 
@@ -54,6 +58,7 @@
   const ConfigPart &Documents_;
   CallContexts &Contexts_;
   CrashGuard &Guard_;
+  Metrics &Times_;
   Logger Log_;
   HttpClient Backend_;
   std::map<CallKey, RunningCall> Running_;
--- /dev/null
+++ b/src/node/metrics.cpp
@@ -0,0 +1,163 @@
+#include "node/metrics.h"
+
+#include <algorithm>
+
+#include <boost/algorithm/string/predicate.hpp>
+#include <boost/algorithm/string/replace.hpp>
+#include <fmt/format.h>
+
+namespace bronzestand::node {
+namespace {
+
+using nlohmann::json;
+
+constexpr double LowestSeconds = 1e-5;
+constexpr double HighestSeconds = 100.0;
+constexpr unsigned BucketCount = 35;
+const std::string Other = "other";
+const std::string None = "none";
+
+std::string quoted(std::string Text) {
+  boost::replace_all(Text, "\\", "\\\\");
+  boost::replace_all(Text, "\"", "\\\"");
+  boost::replace_all(Text, "\n", "\\n");
+  return Text;
+}
+
+void printHead(std::string &Out, std::string_view Name, std::string_view Type,
+               std::string_view Help) {
+  Out += fmt::format("# HELP {} {}\n# TYPE {} {}\n", Name, Help, Name, Type);
+}
+
+} // namespace
+
+TimeHistogram::TimeHistogram()
+    : Buckets_(std::make_tuple(Axis(BucketCount, LowestSeconds, HighestSeconds))) {}
+
+void TimeHistogram::add(Duration Time) {
+  const double Seconds = std::chrono::duration<double>(Time).count();
+  Buckets_(std::max(Seconds, 0.0));
+  ++Count_;
+  SumSeconds_ += Seconds;
+}
+
+double TimeHistogram::quantile(double Quantile) const {
+  const double Wanted = Quantile * static_cast<double>(Count_);
+  double Seen = 0.0;
+  for (int Index = -1; Index < Buckets_.axis().size() && Count_ != 0; ++Index) {
+    Seen += static_cast<double>(Buckets_.at(Index));
+    if (Seen >= Wanted)
+      return Buckets_.axis().value(Index + 1);
+  }
+  return Count_ == 0 ? 0.0 : HighestSeconds;
+}
+
+json TimeHistogram::dump() const {
+  return {{"count", Count_},
+          {"sum_seconds", SumSeconds_},
+          {"p50_seconds", quantile(0.5)},
+          {"p99_seconds", quantile(0.99)}};
+}
+
+void TimeHistogram::print(std::string &Out, std::string_view Name,
+                          const std::string &Labels) const {
+  double Seen = 0.0;
+  for (int Index = -1; Index < Buckets_.axis().size(); ++Index) {
+    Seen += static_cast<double>(Buckets_.at(Index));
+    Out += fmt::format("{}_bucket{{{}le=\"{:.6g}\"}} {:.0f}\n", Name, Labels,
+                       Buckets_.axis().value(Index + 1), Seen);
+  }
+  Out += fmt::format("{}_bucket{{{}le=\"+Inf\"}} {}\n", Name, Labels, Count_);
+  const std::string Braces = Labels.empty() ? "" : "{" + Labels.substr(0, Labels.size() - 1) + "}";
+  Out += fmt::format("{}_sum{} {:.9g}\n{}_count{} {}\n", Name, Braces, SumSeconds_, Name, Braces,
+                     Count_);
+}
+
+Metrics::Metrics(ConfigPart &Documents) : Documents_(Documents) {
+  Documents_.addChangeCallback([this](const std::string &Path) {
+    if (boost::starts_with(Path, "teams/") || boost::starts_with(Path, "classes/"))
+      dropRemovedNames();
+  });
+}
+
+std::string Metrics::classLabel(const std::string &Name) const {
+  if (Name.empty() || Name == None)
+    return None;
+  return Documents_.catalogue().findClass(ClassId(Name)) == nullptr ? Other : Name;
+}
+
+std::string Metrics::teamLabel(const std::string &Name) const {
+  if (Name.empty() || Name == None)
+    return None;
+  return Documents_.catalogue().findTeam(TeamId(Name)) == nullptr ? Other : Name;
+}
+
+// Teams come and go over months; without this the labels would grow with all that ever were.
+void Metrics::dropRemovedNames() {
+  const auto Counts = std::exchange(Requests_, {});
+  for (const auto &[Row, Count] : Counts)
+    Requests_[{Row.Child_, classLabel(Row.Class_), teamLabel(Row.Team_), Row.Outcome_,
+               Row.Refusal_}] += Count;
+  for (auto Item = WholeByClass_.begin(); Item != WholeByClass_.end();)
+    Item = classLabel(Item->first) == Item->first || Item->first == Other
+               ? std::next(Item)
+               : WholeByClass_.erase(Item);
+}
+
+void Metrics::ended(const RequestRecord &Record) {
+  const std::string Class = classLabel(Record.Class_.str());
+  const std::string_view Reason = Record.Refusal_ ? refusalInfo(*Record.Refusal_).Name_ : "";
+  ++Requests_[{Record.Child_, Class, teamLabel(Record.Team_.str()), outcomeName(Record.Outcome_),
+               Reason}];
+  if (!Record.Child_)
+    WholeByClass_[Class].add(Record.Whole_);
+  if (!Record.Tries_.empty())
+    AddedAtEntry_.add(Record.added());
+}
+
+void Metrics::executed(Duration Added, Duration Queued) {
+  AddedAtExecutor_.add(Added);
+  Queue_.add(Queued);
+}
+
+std::string Metrics::prometheusText() const {
+  std::string Out;
+  printHead(Out, "bronzestand_requests_total", "counter", "Requests that ended at this node.");
+  for (const auto &[Row, Count] : Requests_)
+    Out += fmt::format("bronzestand_requests_total{{origin=\"{}\",class=\"{}\",team=\"{}\","
+                       "outcome=\"{}\",refusal=\"{}\"}} {}\n",
+                       Row.Child_ ? "service" : "caller", quoted(Row.Class_), quoted(Row.Team_),
+                       Row.Outcome_, Row.Refusal_, Count);
+  printHead(Out, "bronzestand_request_seconds", "histogram", "Time of whole requests of callers.");
+  for (const auto &[Class, Times] : WholeByClass_)
+    Times.print(Out, "bronzestand_request_seconds", fmt::format("class=\"{}\",", quoted(Class)));
+  printHead(Out, "bronzestand_added_seconds", "histogram",
+            "Time in this node besides waiting for a backend server or its node.");
+  AddedAtEntry_.print(Out, "bronzestand_added_seconds", "role=\"entry\",");
+  AddedAtExecutor_.print(Out, "bronzestand_added_seconds", "role=\"executor\",");
+  printHead(Out, "bronzestand_queue_seconds", "histogram",
+            "Time from the arrival of a call to its dispatch to the backend server.");
+  Queue_.print(Out, "bronzestand_queue_seconds", "");
+  return Out;
+}
+
+json Metrics::dump() const {
+  json Requests = json::array();
+  for (const auto &[Row, Count] : Requests_)
+    Requests.push_back({{"origin", Row.Child_ ? "service" : "caller"},
+                        {"class", Row.Class_},
+                        {"team", Row.Team_},
+                        {"outcome", std::string(Row.Outcome_)},
+                        {"refusal", std::string(Row.Refusal_)},
+                        {"count", Count}});
+  json Whole = json::object();
+  for (const auto &[Class, Times] : WholeByClass_)
+    Whole[Class] = Times.dump();
+  return {{"requests", std::move(Requests)},
+          {"request_seconds", std::move(Whole)},
+          {"added_at_entry", AddedAtEntry_.dump()},
+          {"added_at_executor", AddedAtExecutor_.dump()},
+          {"queue", Queue_.dump()}};
+}
+
+} // namespace bronzestand::node
--- /dev/null
+++ b/src/node/metrics.h
@@ -0,0 +1,87 @@
+#ifndef BRONZESTAND_NODE_METRICS_H
+#define BRONZESTAND_NODE_METRICS_H
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <tuple>
+
+#include <boost/histogram.hpp>
+
+#include "node/config_part.h"
+#include "node/part.h"
+#include "node/recent_requests.h"
+
+namespace bronzestand::node {
+
+/// Histogram of times from 10 us to 100 s, five buckets per decade.
+class TimeHistogram {
+public:
+  TimeHistogram();
+  void add(Duration Time);
+  /// Upper bound of the bucket that holds a quantile, in seconds; 0 without any time.
+  /// \param Quantile 0 to 1.
+  double quantile(double Quantile) const;
+  nlohmann::json dump() const;
+  /// Appends the lines of a Prometheus histogram.
+  /// \param Labels text within the braces, empty or ending in a comma.
+  void print(std::string &Out, std::string_view Name, const std::string &Labels) const;
+
+private:
+  using Axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
+
+  boost::histogram::histogram<std::tuple<Axis>> Buckets_;
+  std::uint64_t Count_ = 0;
+  double SumSeconds_ = 0.0;
+};
+
+/// Counters and times of this node, in the dump and as Prometheus text (design section 12).
+/// Labels are bounded: classes and teams that are not in the configuration count as "other", and a
+/// request without one as "none".
+class Metrics final : public Part {
+public:
+  explicit Metrics(ConfigPart &Documents);
+
+  /// A request ended at the node that took it.
+  void ended(const RequestRecord &Record);
+  /// A call ended at the node beside the backend server.
+  /// \param Added time in this node besides waiting for the backend server.
+  /// \param Queued the part of it before the call was sent to the backend server.
+  void executed(Duration Added, Duration Queued);
+
+  std::string prometheusText() const;
+
+  std::string_view name() const override { return "metrics"; }
+  absl::Status start() override { return absl::OkStatus(); }
+  void stop() override {}
+  nlohmann::json dump() const override;
+
+private:
+  struct Labels {
+    bool Child_ = false;
+    std::string Class_;
+    std::string Team_;
+    std::string_view Outcome_;
+    std::string_view Refusal_;
+
+    friend bool operator<(const Labels &A, const Labels &B) {
+      return std::tie(A.Child_, A.Class_, A.Team_, A.Outcome_, A.Refusal_) <
+             std::tie(B.Child_, B.Class_, B.Team_, B.Outcome_, B.Refusal_);
+    }
+  };
+
+  std::string classLabel(const std::string &Name) const;
+  std::string teamLabel(const std::string &Name) const;
+  void dropRemovedNames();
+
+  ConfigPart &Documents_;
+  std::map<Labels, std::uint64_t> Requests_;
+  std::map<std::string, TimeHistogram> WholeByClass_; ///< requests of callers only
+  TimeHistogram AddedAtEntry_;
+  TimeHistogram AddedAtExecutor_;
+  TimeHistogram Queue_;
+};
+
+} // namespace bronzestand::node
+
+#endif
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -2,6 +2,8 @@
 
 #include <functional>
 
+#include <boost/algorithm/string/predicate.hpp>
+
 #include "node/call_contexts.h"
 #include "node/clock.h"
 #include "node/config_part.h"
@@ -10,6 +12,7 @@
 #include "node/host_choice.h"
 #include "node/http_server.h"
 #include "node/link_part.h"
+#include "node/metrics.h"
 #include "node/peer_links.h"
 #include "node/platform_reader.h"
 #include "node/router.h"
@@ -19,6 +22,7 @@
 namespace {
 
 constexpr Duration TickInterval = std::chrono::milliseconds(100);
+constexpr std::string_view RequestsPath = "/requests/";
 constexpr std::string_view JsonType = "application/json";
 
 HttpResponse textResponse(unsigned Status, std::string_view Type, std::string Body) {
@@ -36,10 +40,12 @@
   Impl(boost::asio::io_context &Io, Settings Config)
       : Io_(Io), Config_(std::move(Config)), Run_(wallMicroseconds()), Log_(makeLogger("node")),
         Timer_(Io), Links_(Io, Config_, Run_), Reader_(Io, Config_), Documents_(Reader_),
-        Guard_(Io, Config_, Documents_, Links_),
-        Executor_(Io, Config_, Documents_, Contexts_, Guard_), Hosts_(Config_, Documents_, Run_),
-        LinkBudget_(Config_, Documents_, Links_),
-        Router_({Io, Config_, Documents_, Contexts_, Links_, Executor_, Hosts_, LinkBudget_}, Run_),
+        Metrics_(Documents_), Recent_(Config_.Host_), Guard_(Io, Config_, Documents_, Links_),
+        Executor_(Io, Config_, Documents_, Contexts_, Guard_, Metrics_),
+        Hosts_(Config_, Documents_, Run_), LinkBudget_(Config_, Documents_, Links_),
+        Router_({Io, Config_, Documents_, Contexts_, Links_, Executor_, Hosts_, LinkBudget_,
+                 Metrics_, Recent_},
+                Run_),
         CallerServer_(Io, Config_.CallerListen_, {},
                       [this](HttpRequest Request, const HttpExchangePtr &Exchange) {
                         Router_.handleCaller(std::move(Request), Exchange);
@@ -85,7 +91,7 @@
 
 private:
   std::vector<Part *> children() {
-    return {&Links_, &Reader_, &Documents_, &LinkBudget_, &Guard_, &Executor_, &Router_};
+    return {&Links_, &Reader_, &Documents_, &LinkBudget_, &Guard_, &Metrics_, &Executor_, &Router_};
   }
 
   std::optional<Endpoint> addressOf(const HostId &Host) const {
@@ -127,6 +133,10 @@
   void handleOperator(const HttpRequest &Request, const HttpExchangePtr &Exchange) {
     if (Request.Target_ == "/state")
       Exchange->respond(textResponse(200, JsonType, dump().dump(2)));
+    else if (Request.Target_ == "/metrics")
+      Exchange->respond(textResponse(200, "text/plain; version=0.0.4", Metrics_.prometheusText()));
+    else if (boost::starts_with(Request.Target_, RequestsPath))
+      handleRequestPage(Request.Target_.substr(RequestsPath.size()), Exchange);
     else if (Request.Target_ == "/healthz")
       Exchange->respond(textResponse(Documents_.isReady() && !Draining_ ? 200 : 503, "text/plain",
                                      Documents_.isReady() ? "ready\n" : "not ready\n"));
@@ -134,6 +144,15 @@
       Exchange->respond(textResponse(404, "text/plain", "unknown page\n"));
   }
 
+  void handleRequestPage(const std::string &Id, const HttpExchangePtr &Exchange) {
+    const nlohmann::json Records = Recent_.find(Id);
+    if (Records.is_null())
+      Exchange->respond(textResponse(404, "text/plain", "unknown request\n"));
+    else
+      Exchange->respond(textResponse(
+          200, JsonType, Records.dump(2, ' ', false, nlohmann::json::error_handler_t::replace)));
+  }
+
   nlohmann::json dump() {
     nlohmann::json Result{{"host", Config_.Host_.str()},
                           {"data_centre", Config_.DataCentre_.str()},
@@ -157,6 +176,8 @@
   PeerLinks Links_;
   PlatformReader Reader_;
   ConfigPart Documents_;
+  Metrics Metrics_;
+  RecentRequests Recent_;
   CrashGuard Guard_;
   Executor Executor_;
   HostChoice Hosts_;
--- a/src/node/routed_call.cpp
+++ b/src/node/routed_call.cpp
@@ -25,7 +25,16 @@
 RoutedCall::RoutedCall(Router &Owner, Call Request, HttpExchangePtr Exchange,
                        std::shared_ptr<CallContext> Parent)
     : Owner_(Owner), Call_(std::move(Request)), Exchange_(std::move(Exchange)),
-      Parent_(std::move(Parent)), Timer_(Owner.Env_.Io_), Deadline_(now() + Call_.TimeLeft_) {}
+      Parent_(std::move(Parent)), Timer_(Owner.Env_.Io_), Deadline_(now() + Call_.TimeLeft_),
+      Started_(now()) {
+  Record_.Request_ = Call_.Request_;
+  Record_.Team_ = Call_.Team_;
+  Record_.Class_ = Call_.Class_;
+  Record_.Service_ = Call_.Service_;
+  Record_.Method_ = Call_.Method_;
+  Record_.Child_ = Parent_ != nullptr;
+  Record_.Allowance_ = Call_.Attempts_;
+}
 
 Duration RoutedCall::timeLeft() const { return Deadline_ - now(); }
 
@@ -109,9 +118,13 @@
 void RoutedCall::endTry(const Answer &Result) {
   if (!std::exchange(TryRuns_, false))
     return;
-  const bool Ended = Cancelled_ && Result.Outcome_ != Outcome::Served;
+  const Duration Time = now() - TryStarted_;
+  const bool Served = Result.Outcome_ == Outcome::Served;
+  Record_.Tries_.push_back({Host_, Result.Outcome_,
+                            Served ? std::nullopt : std::optional<Refusal>(Result.Refusal_), Time});
+  const bool Ended = Cancelled_ && !Served;
   // A cancelled call says nothing about its host.
-  Owner_.Env_.Hosts_.finished(Host_, now() - TryStarted_,
+  Owner_.Env_.Hosts_.finished(Host_, Time,
                               Ended ? Answer::refused(Call_.Id_, Refusal::Cancelled) : Result);
 }
 
@@ -173,9 +186,13 @@
   Timer_.cancel();
   if (Parent_)
     Parent_->AttemptsLeft_ += std::min(Result.UnusedAttempts_, Call_.Attempts_);
-  ++Owner_.Outcomes_[Result.Outcome_ == Outcome::Served
-                         ? "served"
-                         : std::string(refusalInfo(Result.Refusal_).Name_)];
+  Record_.Path_ = std::string(pathOf(Call_.Target_));
+  Record_.Unused_ = Result.UnusedAttempts_;
+  Record_.Outcome_ = Result.Outcome_;
+  if (Result.Outcome_ != Outcome::Served)
+    Record_.Refusal_ = Result.Refusal_;
+  Record_.Whole_ = now() - Started_;
+  Owner_.record(std::move(Record_));
   Owner_.finished(Call_.Id_);
   Exchange_->respond(toResponse(Result, Call_.Request_));
   Exchange_ = nullptr;
--- a/src/node/routed_call.h
+++ b/src/node/routed_call.h
@@ -52,6 +52,8 @@
   bool TryRuns_ = false;
   bool Cancelled_ = false; ///< the caller has gone away
   TimePoint TryStarted_;
+  TimePoint Started_;
+  RequestRecord Record_;
   std::optional<Refusal> LastRefusal_; ///< why the last try ended
   std::optional<Refusal> MayHaveRun_;  ///< end of an earlier try that may have run
 };
--- a/src/node/router.cpp
+++ b/src/node/router.cpp
@@ -59,8 +59,9 @@
 void Router::handleCaller(HttpRequest Request, const HttpExchangePtr &Exchange) {
   Call Partial;
   Partial.Request_ = RequestId(randomToken());
+  const RouteSpec *Route = nullptr;
   const auto Refuse = [&](Refusal Reason) {
-    ++Outcomes_[std::string(refusalInfo(Reason).Name_)];
+    recordRefusal(Request, Partial, Route, false, Reason);
     Exchange->respond(refusalResponse(Reason, Partial.Request_));
   };
   const TakenKey Taken = takeKey(Request);
@@ -69,7 +70,7 @@
   if (!Env_.Documents_.isReady())
     return Refuse(Refusal::NotReady);
   const Catalogue &Documents = Env_.Documents_.catalogue();
-  const RouteSpec *Route = Documents.matchRoute(Request.Method_, pathOf(Request.Target_));
+  Route = Documents.matchRoute(Request.Method_, pathOf(Request.Target_));
   if (Route == nullptr)
     return Refuse(Refusal::RouteUnknown);
   const ClassSpec *Class = Documents.findClass(Route->Class_);
@@ -95,22 +96,24 @@
 void Router::handleEgress(HttpRequest Request, const HttpExchangePtr &Exchange) {
   const auto Token = findHeader(Request.Headers_, "Bronzestand-Call");
   const auto Parent = Token ? Env_.Contexts_.find(*Token) : nullptr;
+  const RouteSpec *Route = nullptr;
+  Call Partial;
+  if (Parent) {
+    Partial.Request_ = Parent->Request_;
+    Partial.Team_ = Parent->Team_;
+  }
   const auto Refuse = [&](Refusal Reason) {
-    ++Outcomes_[std::string(refusalInfo(Reason).Name_)];
-    Exchange->respond(refusalResponse(Reason, Parent ? Parent->Request_ : RequestId()));
+    recordRefusal(Request, Partial, Route, true, Reason);
+    Exchange->respond(refusalResponse(Reason, Partial.Request_));
   };
   takeKey(Request);
   if (!Parent)
     return Refuse(Refusal::CallContextMissing);
-  const RouteSpec *Route =
-      Env_.Documents_.catalogue().matchRoute(Request.Method_, pathOf(Request.Target_));
+  Route = Env_.Documents_.catalogue().matchRoute(Request.Method_, pathOf(Request.Target_));
   if (Route == nullptr)
     return Refuse(Refusal::RouteUnknown);
   if (Parent->AttemptsLeft_ == 0)
     return Refuse(Refusal::AttemptsExhausted);
-  Call Partial;
-  Partial.Request_ = Parent->Request_;
-  Partial.Team_ = Parent->Team_;
   Partial.KeyId_ = Parent->KeyId_;
   Partial.Standing_ = Parent->Standing_;
   Partial.TimeLeft_ = Parent->Deadline_ - now();
@@ -125,7 +128,7 @@
   const auto Refuse = [&](Refusal Reason) {
     if (Parent)
       Parent->AttemptsLeft_ += Partial.Attempts_;
-    ++Outcomes_[std::string(refusalInfo(Reason).Name_)];
+    recordRefusal(Request, Partial, &Route, Parent != nullptr, Reason);
     Exchange->respond(refusalResponse(Reason, Partial.Request_));
   };
   const ClassSpec *Class = Env_.Documents_.catalogue().findClass(Route.Class_);
@@ -169,6 +172,28 @@
   return Env_.Hosts_.choose(Request, Excluded);
 }
 
+void Router::record(RequestRecord Record) {
+  ++Outcomes_[Record.Refusal_ ? std::string(refusalInfo(*Record.Refusal_).Name_) : "served"];
+  Env_.Metrics_.ended(Record);
+  Env_.Recent_.add(std::move(Record));
+}
+
+void Router::recordRefusal(const HttpRequest &Request, const Call &Partial, const RouteSpec *Route,
+                           bool Child, Refusal Reason) {
+  RequestRecord Record;
+  Record.Request_ = Partial.Request_;
+  Record.Team_ = Partial.Team_;
+  if (Route != nullptr) {
+    Record.Class_ = Route->Class_;
+    Record.Service_ = Route->Service_;
+  }
+  Record.Method_ = Request.Method_;
+  Record.Path_ = std::string(pathOf(Request.Target_));
+  Record.Child_ = Child;
+  Record.Refusal_ = Reason;
+  record(std::move(Record));
+}
+
 void Router::finished(CallId Id) { Running_.erase(Id); }
 
 void Router::onAnswer(const HostId &From, const Answer &Result) {
--- a/src/node/router.h
+++ b/src/node/router.h
@@ -14,6 +14,7 @@
 #include "node/host_choice.h"
 #include "node/http_server.h"
 #include "node/link_part.h"
+#include "node/metrics.h"
 #include "node/part.h"
 #include "node/peer_links.h"
 
@@ -34,6 +35,8 @@
     Executor &Executor_;
     HostChoice &Hosts_;
     LinkPart &LinkBudget_;
+    Metrics &Metrics_;
+    RecentRequests &Recent_;
   };
 
   Router(const Parts &Environment, Incarnation Run);
@@ -59,6 +62,10 @@
   void route(HttpRequest Request, const HttpExchangePtr &Exchange, Call Partial,
              const RouteSpec &Route, const std::shared_ptr<CallContext> &Parent);
   void finished(CallId Id);
+  void record(RequestRecord Record);
+  /// Records a request that is refused before it is routed.
+  void recordRefusal(const HttpRequest &Request, const Call &Partial, const RouteSpec *Route,
+                     bool Child, Refusal Reason);
   HostId chooseHost(const Call &Request, const std::set<HostId> &Excluded);
   void onAnswer(const HostId &From, const Answer &Result);
   void onLinkDown(const HostId &Host, LinkId Link);
