Take in host lists of used services only, and honour disabled mechanisms

Cause: each changed host list made every node scan all lists twice, which at start grows with the square of the number of lists; the settings to disable the balancer, the quarantine and the link budget had no effect.

Change: the balancer takes in the lists of a service when the node calls it; the link budget counts live hosts once per tick. The three mechanisms can be disabled.

--- a/src/ctl/node_summary.cpp
+++ b/src/ctl/node_summary.cpp
@@ -58,6 +58,7 @@
 
 std::vector<NodeSummary> readSummaries(const std::vector<std::string> &Nodes) {
   std::vector<NodeSummary> Result;
+  Result.reserve(Nodes.size());
   for (const std::string &Node : Nodes)
     Result.push_back(readSummary(Node));
   return Result;
--- a/src/node/crash_guard.cpp
+++ b/src/node/crash_guard.cpp
@@ -61,6 +61,10 @@
 }
 
 void CrashGuard::enter(const CallKey &Key, const Call &Request, Entered Done) {
+  if (!Config_.isEnabled(Mechanism::Quarantine)) {
+    Done(std::nullopt);
+    return;
+  }
   Waiting Item{Key, Request.Team_, Request.Fingerprint_, now() + Request.TimeLeft_, nullptr};
   bool MustWait = false;
   std::optional<Refusal> Reason = tryEnter(Item, MustWait);
--- a/src/node/host_choice.cpp
+++ b/src/node/host_choice.cpp
@@ -14,16 +14,13 @@
 
 void HostChoice::onDocument(const std::string &Path) {
   if (Path == "fleet") {
-    std::set<ServiceId> Services;
-    for (const auto &[Name, List] : Documents_.catalogue().hostLists())
-      Services.insert(List.Service_);
-    for (const ServiceId &Service : Services)
-      rebuild(Service);
+    for (auto &[Service, Current] : Current_)
+      Current = false;
     return;
   }
   if (!boost::starts_with(Path, "hosts/"))
     return;
-  rebuild(ServiceId(Path.substr(Path.rfind('/') + 1)));
+  markChanged(ServiceId(Path.substr(Path.rfind('/') + 1)));
   const auto Drop = [this](auto &Hosts) {
     for (auto Item = Hosts.begin(); Item != Hosts.end();)
       Item = Documents_.catalogue().findHost(Item->first) == nullptr ? Hosts.erase(Item)
@@ -33,6 +30,11 @@
   Drop(Sent_);
 }
 
+void HostChoice::markChanged(const ServiceId &Service) {
+  if (const auto Found = Current_.find(Service); Found != Current_.end())
+    Found->second = false;
+}
+
 Locality HostChoice::localityOf(const DataCentreId &DataCentre) const {
   if (DataCentre == Config_.DataCentre_)
     return Locality::SameDataCentre;
@@ -60,11 +62,14 @@
     }
   }
   Balancer_.setHosts(now(), Service, Candidates);
+  Current_[Service] = true;
 }
 
 HostId HostChoice::choose(const Call &Request, const std::set<HostId> &Excluded) {
-  if (Request.AtMostOnce_)
+  if (Request.AtMostOnce_ || !Config_.isEnabled(Mechanism::Balancer))
     return chooseByKey(Request, Excluded);
+  if (const auto Found = Current_.find(Request.Service_); Found == Current_.end() || !Found->second)
+    rebuild(Request.Service_);
   const std::vector<HostId> Tried(Excluded.begin(), Excluded.end());
   const HostId *Host = Balancer_.pick(now(), Request.Service_, Tried, Request.Standing_);
   return Host == nullptr ? HostId() : *Host;
@@ -79,7 +84,9 @@
       for (const HostSpec &Host : List.Hosts_)
         if (isAvailable(Host) && Excluded.count(Host.Id_) == 0)
           Candidates.push_back(Host.Id_);
-  const auto Chosen = topHosts(Request.IdempotencyKey_, Candidates, 1);
+  const std::string Key =
+      Request.AtMostOnce_ ? Request.IdempotencyKey_ : std::to_string(Request.Id_);
+  const auto Chosen = topHosts(Key, Candidates, 1);
   return Chosen.empty() ? HostId() : Chosen.front();
 }
 
@@ -126,7 +133,7 @@
   if (!Restarted && Known.Leaving_ == WasLeaving)
     return;
   Log_->info("host {} {}", Host.str(), Known.Leaving_ ? "is leaving" : "runs again");
-  rebuild(Spec->Service_);
+  markChanged(Spec->Service_);
 }
 
 nlohmann::json HostChoice::dump() const {
--- a/src/node/host_choice.h
+++ b/src/node/host_choice.h
@@ -42,6 +42,7 @@
 
   void onDocument(const std::string &Path);
   void rebuild(const ServiceId &Service);
+  void markChanged(const ServiceId &Service);
   Locality localityOf(const DataCentreId &DataCentre) const;
   bool isAvailable(const HostSpec &Host) const;
   HostId chooseByKey(const Call &Request, const std::set<HostId> &Excluded) const;
@@ -50,6 +51,9 @@
   const ConfigPart &Documents_;
   Logger Log_;
   Balancer Balancer_;
+  /// Services that this node has called: whether the balancer has their present candidates. The
+  /// lists of others are not taken in, so that state and start-up time do not grow with the fleet.
+  std::map<ServiceId, bool> Current_;
   std::map<HostId, Observed> Observed_;
   std::map<HostId, std::uint64_t> Sent_; ///< calls by host, for the dump
 };
--- a/src/node/link_part.cpp
+++ b/src/node/link_part.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 #include <boost/algorithm/string/predicate.hpp>
 
@@ -21,7 +22,10 @@
 
 LinkPart::LinkPart(const Settings &Config, ConfigPart &Documents, PeerLinks &Links)
     : Config_(Config), Documents_(Documents), Links_(Links) {
-  Documents_.addChangeCallback([this](const std::string &Path) { onDocument(Path); });
+  Documents_.addChangeCallback([this](const std::string &Path) {
+    Changed_ = Changed_ || Path == "fleet" || boost::starts_with(Path, "hosts/") ||
+               boost::starts_with(Path, "classes/");
+  });
 }
 
 absl::Status LinkPart::start() {
@@ -40,28 +44,38 @@
 }
 
 bool LinkPart::mayCall(const HostId &To, const Call &Request) {
-  return !crosses(To) || Budget_.trySend(now(), Request.Standing_.ClassRank_, sizeOf(Request));
+  if (!crosses(To))
+    return true;
+  refresh();
+  if (Config_.isEnabled(Mechanism::LinkBudget))
+    return Budget_.trySend(now(), Request.Standing_.ClassRank_, sizeOf(Request));
+  Budget_.send(now(), LinkTraffic::Call, sizeOf(Request));
+  return true;
 }
 
-void LinkPart::onDocument(const std::string &Path) {
+void LinkPart::tick(TimePoint /*Now*/) { refresh(); }
+
+// Many documents change at once when a node starts; the lists are counted once for all of them.
+void LinkPart::refresh() {
+  if (!std::exchange(Changed_, false))
+    return;
   const Catalogue &Documents = Documents_.catalogue();
-  if (Path == "fleet" || boost::starts_with(Path, "hosts/")) {
-    std::size_t Live = 0;
-    for (const auto &[Name, List] : Documents.hostLists())
-      if (Documents.regionOf(List.DataCentre_) == Config_.Region_)
-        Live += static_cast<std::size_t>(
-            std::count_if(List.Hosts_.begin(), List.Hosts_.end(),
-                          [](const HostSpec &Host) { return !Host.Leaving_; }));
-    Budget_.setShare(now(), Documents.fleet().CrossRegionMbit_, Live);
-  } else if (boost::starts_with(Path, "classes/") && !Documents.classes().empty()) {
-    std::uint8_t Lowest = 255;
-    std::uint8_t Highest = 0;
-    for (const auto &[Name, Spec] : Documents.classes()) {
-      Lowest = std::min(Lowest, Documents.rankOf(Name));
-      Highest = std::max(Highest, Documents.rankOf(Name));
-    }
-    Budget_.setRanks(Lowest, Highest);
+  std::size_t Live = 0;
+  for (const auto &[Name, List] : Documents.hostLists())
+    if (Documents.regionOf(List.DataCentre_) == Config_.Region_)
+      Live += static_cast<std::size_t>(
+          std::count_if(List.Hosts_.begin(), List.Hosts_.end(),
+                        [](const HostSpec &Host) { return !Host.Leaving_; }));
+  Budget_.setShare(now(), Documents.fleet().CrossRegionMbit_, Live);
+  if (Documents.classes().empty())
+    return;
+  std::uint8_t Lowest = 255;
+  std::uint8_t Highest = 0;
+  for (const auto &[Name, Spec] : Documents.classes()) {
+    Lowest = std::min(Lowest, Documents.rankOf(Name));
+    Highest = std::max(Highest, Documents.rankOf(Name));
   }
+  Budget_.setRanks(Lowest, Highest);
 }
 
 nlohmann::json LinkPart::dump() const {
--- a/src/node/link_part.h
+++ b/src/node/link_part.h
@@ -20,16 +20,18 @@
   std::string_view name() const override { return "link_budget"; }
   absl::Status start() override;
   void stop() override {}
+  void tick(TimePoint Now) override;
   nlohmann::json dump() const override;
 
 private:
   bool crosses(const HostId &To) const;
-  void onDocument(const std::string &Path);
+  void refresh();
 
   const Settings &Config_;
   ConfigPart &Documents_;
   PeerLinks &Links_;
   LinkBudget Budget_;
+  bool Changed_ = true; ///< documents have changed since the last refresh
 };
 
 } // namespace bronzestand::node
