--- a/src/node/router.h
+++ b/src/node/router.h
@@ -11,7 +11,10 @@
 #include "node/caller_key.h"
 #include "node/config_part.h"
 #include "node/executor.h"
+#include "node/host_choice.h"
 #include "node/http_server.h"
+#include "node/link_part.h"
+#include "node/metrics.h"
 #include "node/part.h"
 #include "node/peer_links.h"
 
@@ -30,6 +33,10 @@
     CallContexts &Contexts_;
     PeerLinks &Links_;
     Executor &Executor_;
+    HostChoice &Hosts_;
+    LinkPart &LinkBudget_;
+    Metrics &Metrics_;
+    RecentRequests &Recent_;
   };
 
   Router(const Parts &Environment, Incarnation Run);
@@ -55,7 +62,11 @@
   void route(HttpRequest Request, const HttpExchangePtr &Exchange, Call Partial,
              const RouteSpec &Route, const std::shared_ptr<CallContext> &Parent);
   void finished(CallId Id);
-  HostId chooseHost(const Call &Request, const std::set<HostId> &Excluded) const;
+  void record(RequestRecord Record);
+  /// Records a request that is refused before it is routed.
+  void recordRefusal(const HttpRequest &Request, const Call &Partial, const RouteSpec *Route,
+                     bool Child, Refusal Reason);
+  HostId chooseHost(const Call &Request, const std::set<HostId> &Excluded);
   void onAnswer(const HostId &From, const Answer &Result);
   void onLinkDown(const HostId &Host, LinkId Link);
 
