--- a/src/node/routed_call.cpp
+++ b/src/node/routed_call.cpp
@@ -25,7 +25,16 @@
 RoutedCall::RoutedCall(Router &Owner, Call Request, HttpExchangePtr Exchange,
                        std::shared_ptr<CallContext> Parent)
     : Owner_(Owner), Call_(std::move(Request)), Exchange_(std::move(Exchange)),
-      Parent_(std::move(Parent)), Timer_(Owner.Env_.Io_), Deadline_(now() + Call_.TimeLeft_) {}
+      Parent_(std::move(Parent)), Timer_(Owner.Env_.Io_), Deadline_(now() + Call_.TimeLeft_),
+      Started_(now()) {
+  Record_.Request_ = Call_.Request_;
+  Record_.Team_ = Call_.Team_;
+  Record_.Class_ = Call_.Class_;
+  Record_.Service_ = Call_.Service_;
+  Record_.Method_ = Call_.Method_;
+  Record_.Child_ = Parent_ != nullptr;
+  Record_.Allowance_ = Call_.Attempts_;
+}
 
 Duration RoutedCall::timeLeft() const { return Deadline_ - now(); }
 
@@ -42,9 +51,14 @@
 void RoutedCall::send() {
   Host_ = Owner_.chooseHost(Call_, Tried_);
   if (Host_.empty()) {
-    finish(Answer::refused(Call_.Id_, Refusal::NoBackendServer));
+    const bool AllBusy = Owner_.Env_.Hosts_.hasHosts(Call_.Service_);
+    const Refusal Reason = AllBusy ? Refusal::Overloaded : Refusal::NoBackendServer;
+    finish(Answer::refused(Call_.Id_, LastRefusal_.value_or(Reason)));
     return;
   }
+  Owner_.Env_.Hosts_.started(Host_);
+  TryRuns_ = true;
+  TryStarted_ = now();
   ++Try_;
   Link_ = 0;
   Tried_.insert(Host_);
@@ -58,6 +72,12 @@
 }
 
 void RoutedCall::sendRemote() {
+  if (!Owner_.Env_.LinkBudget_.mayCall(Host_, Call_)) {
+    Answer Result = Answer::refused(Call_.Id_, Refusal::Overloaded);
+    Result.UnusedAttempts_ = Call_.Attempts_;
+    retryOrFinish(Result);
+    return;
+  }
   Owner_.Env_.Links_.send(Host_, MessageKind::Call, Call_,
                           [Self = Ptr(this), Try = Try_](LinkId Link) { Self->onSent(Try, Link); });
 }
@@ -66,8 +86,11 @@
   if (Done_ || Try != Try_)
     return;
   Link_ = Link;
-  if (Link == 0)
-    retryOrFinish(Answer::refused(Call_.Id_, Refusal::NoBackendServer));
+  if (Link != 0)
+    return;
+  Answer Result = Answer::refused(Call_.Id_, Refusal::NoBackendServer);
+  Result.UnusedAttempts_ = Call_.Attempts_; // the call was never written
+  retryOrFinish(Result);
 }
 
 void RoutedCall::onAnswer(const Answer &Result) {
@@ -85,18 +108,35 @@
 }
 
 bool RoutedCall::mayRetry(const Answer &Result) const {
-  if (Try_ >= MaxTries || timeLeft() <= Duration::zero())
+  if (Cancelled_ || Try_ >= MaxTries || timeLeft() <= Duration::zero())
     return false;
   if (Result.Outcome_ == Outcome::NotRun)
     return refusalInfo(Result.Refusal_).MayRetry_;
   return Call_.Idempotent_ && !Call_.AtMostOnce_;
 }
 
+void RoutedCall::endTry(const Answer &Result) {
+  if (!std::exchange(TryRuns_, false))
+    return;
+  const Duration Time = now() - TryStarted_;
+  const bool Served = Result.Outcome_ == Outcome::Served;
+  Record_.Tries_.push_back({Host_, Result.Outcome_,
+                            Served ? std::nullopt : std::optional<Refusal>(Result.Refusal_), Time});
+  const bool Ended = Cancelled_ && !Served;
+  // A cancelled call says nothing about its host.
+  Owner_.Env_.Hosts_.finished(Host_, Time,
+                              Ended ? Answer::refused(Call_.Id_, Refusal::Cancelled) : Result);
+}
+
 void RoutedCall::retryOrFinish(const Answer &Result) {
+  endTry(Result);
   if (!mayRetry(Result)) {
     finish(Result);
     return;
   }
+  if (Result.Outcome_ == Outcome::Unknown)
+    MayHaveRun_ = Result.Refusal_;
+  LastRefusal_ = Result.Refusal_;
   // Each try has an id of its own, so that a late answer to an earlier one is not taken for this.
   const Ptr Keep(this);
   Owner_.Running_.erase(Call_.Id_);
@@ -115,30 +155,44 @@
     return;
   const bool NeverSent = Host_ != Owner_.Env_.Config_.Host_ && Link_ == 0 && Try_ <= 1;
   const Refusal Reason = NeverSent ? Refusal::DeadlineTooShort : Refusal::TimedOut;
+  const Answer Result = Answer::refused(Call_.Id_, Reason);
+  endTry(Result); // before the cancellation, which would hide the time-out from the balancer
   cancel();
-  finish(Answer::refused(Call_.Id_, Reason));
+  finish(Result);
 }
 
 void RoutedCall::cancel() {
   if (Done_)
     return;
+  Cancelled_ = true;
   if (Host_ == Owner_.Env_.Config_.Host_)
     Owner_.Env_.Executor_.cancel(Host_, Call_.Id_);
   else if (Link_ != 0)
     Owner_.Env_.Links_.send(Host_, MessageKind::Cancel, Call_.Id_);
 }
 
-void RoutedCall::finish(const Answer &Result) {
+void RoutedCall::finish(const Answer &Last) {
   if (Done_)
     return;
   const Ptr Keep(this);
+  endTry(Last);
+  Answer Result = Last;
+  // "Not run" holds for the whole request only if no earlier try may have run.
+  if (MayHaveRun_ && Result.Outcome_ == Outcome::NotRun) {
+    Result.Outcome_ = Outcome::Unknown;
+    Result.Refusal_ = *MayHaveRun_;
+  }
   Done_ = true;
   Timer_.cancel();
   if (Parent_)
     Parent_->AttemptsLeft_ += std::min(Result.UnusedAttempts_, Call_.Attempts_);
-  ++Owner_.Outcomes_[Result.Outcome_ == Outcome::Served
-                         ? "served"
-                         : std::string(refusalInfo(Result.Refusal_).Name_)];
+  Record_.Path_ = std::string(pathOf(Call_.Target_));
+  Record_.Unused_ = Result.UnusedAttempts_;
+  Record_.Outcome_ = Result.Outcome_;
+  if (Result.Outcome_ != Outcome::Served)
+    Record_.Refusal_ = Result.Refusal_;
+  Record_.Whole_ = now() - Started_;
+  Owner_.record(std::move(Record_));
   Owner_.finished(Call_.Id_);
   Exchange_->respond(toResponse(Result, Call_.Request_));
   Exchange_ = nullptr;
--- a/src/node/router.h
+++ b/src/node/router.h
@@ -11,8 +11,11 @@
 #include "node/caller_key.h"
 #include "node/config_part.h"
 #include "node/executor.h"
+#include "node/host_choice.h"
 #include "node/http_server.h"
 #include "node/limits_part.h"
+#include "node/link_part.h"
+#include "node/metrics.h"
 #include "node/part.h"
 #include "node/peer_links.h"
 
@@ -32,6 +35,10 @@
     PeerLinks &Links_;
     Executor &Executor_;
     LimitsPart &Limits_;
+    HostChoice &Hosts_;
+    LinkPart &LinkBudget_;
+    Metrics &Metrics_;
+    RecentRequests &Recent_;
   };
 
   Router(const Parts &Environment, Incarnation Run);
@@ -63,7 +70,11 @@
   void run(Call Request, const HttpExchangePtr &Exchange,
            const std::shared_ptr<CallContext> &Parent);
   void finished(CallId Id);
-  HostId chooseHost(const Call &Request, const std::set<HostId> &Excluded) const;
+  void record(RequestRecord Record);
+  /// Records a request that is refused before it is routed.
+  void recordRefusal(const HttpRequest &Request, const Call &Partial, const RouteSpec *Route,
+                     bool Child, Refusal Reason);
+  HostId chooseHost(const Call &Request, const std::set<HostId> &Excluded);
   void onAnswer(const HostId &From, const Answer &Result);
   void onLinkDown(const HostId &Host, LinkId Link);
 
--- a/src/node/router_entry.cpp
+++ b/src/node/router_entry.cpp
@@ -25,7 +25,13 @@
       return;
     }
     const Refusal Reason = Admitted ? Refusal::DeadlineTooShort : Refusal::OverTeamLimit;
-    ++Outcomes_[std::string(refusalInfo(Reason).Name_)];
+    HttpRequest Refused;
+    Refused.Method_ = Waiting->Method_;
+    Refused.Target_ = Waiting->Target_;
+    RouteSpec Route;
+    Route.Class_ = Waiting->Class_;
+    Route.Service_ = Waiting->Service_;
+    recordRefusal(Refused, *Waiting, &Route, false, Reason);
     Exchange->respond(refusalResponse(Reason, Waiting->Request_));
   });
 }
