Lease through a leaving node until its last request has ended

Cause: a limit broker stopped granting at SIGTERM, so all teams of its data centre were refused while it drained. Change: the node gives up its right when it has drained and stops a tick later.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -90,7 +90,6 @@
     CallerServer_.drain();
     Router_.drain();
     Executor_.drain();
-    Limits_.leaving(now());
   }
 
 private:
@@ -113,8 +112,13 @@
         return;
       Supervisor_.tick(now());
       if (Draining_ && (isDrained() || now() >= DrainEnd_)) {
-        stopAll();
-        return;
+        // Other nodes lease through this one until its last request has ended. The notices need one
+        // more tick to be written.
+        if (std::exchange(LimitsLeft_, true)) {
+          stopAll();
+          return;
+        }
+        Limits_.leaving(now());
       }
       scheduleTick();
     });
@@ -193,6 +197,7 @@
   HttpServer EgressServer_;
   HttpServer OperatorServer_;
   bool Draining_ = false;
+  bool LimitsLeft_ = false;
   TimePoint DrainEnd_;
 };
 
