Bind dispatcher, admission levels and attempt accounts

The executor sent every call to the backend server at once, the entry admitted everything, and attempts were counted by one number per call.

The executor now queues calls in DispatchQueue, which binds the dispatcher, its expiry timer and the host's own admission level. Answers carry that level and those of deeper services; the entry checks them. RoutedCall takes each attempt's share from an AttemptAccount and asks RetryPolicy before a retry. A call that ends cancels its child calls. After its deadline the entry waits 50 ms for the executor's word that the call was not run.

path_test passes.

--- a/src/node/call_contexts.cpp
+++ b/src/node/call_contexts.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <iterator>
+#include <utility>
 
 #include <boost/algorithm/hex.hpp>
 #include <openssl/rand.h>
@@ -16,6 +17,12 @@
   return Text;
 }
 
+void CallContext::cancelChildren() {
+  const auto Cancels = std::exchange(CancelChild_, {});
+  for (const auto &[Id, Cancel] : Cancels)
+    Cancel();
+}
+
 std::string CallContexts::add(CallContext Context) {
   std::string Token = randomToken();
   ByToken_.emplace(Token, std::make_shared<CallContext>(std::move(Context)));
--- a/src/node/call_contexts.h
+++ b/src/node/call_contexts.h
@@ -1,11 +1,14 @@
 #ifndef BRONZESTAND_NODE_CALL_CONTEXTS_H
 #define BRONZESTAND_NODE_CALL_CONTEXTS_H
 
+#include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <unordered_map>
 
 #include "bronzestand/call.h"
+#include "node/call_attempts.h"
 
 namespace bronzestand::node {
 
@@ -15,11 +18,15 @@
   TeamId Team_;
   std::string KeyId_;
   ClassId Class_;
+  std::string Route_; ///< name of the route of the call
   Standing Standing_;
   TimePoint Deadline_;
   std::string IdempotencyKey_;
-  std::uint32_t AttemptsLeft_ = 0;
+  AttemptAccountPtr Attempts_; ///< null without Mechanism::Attempts
   std::uint32_t ChildCalls_ = 0;
+  std::map<CallId, std::function<void()>> CancelChild_; ///< of the child calls that still run
+
+  void cancelChildren();
 };
 
 /// Calls that run on the local backend server, by the token that it was given.
--- a/src/node/executor.cpp
+++ b/src/node/executor.cpp
@@ -1,21 +1,33 @@
 #include "node/executor.h"
 
+#include <algorithm>
+
 #include "node/clock.h"
 
 namespace bronzestand::node {
 namespace {
 
-constexpr std::size_t MaxBackendConnections = 100;
+// The reference deployments' backend servers take 150 to 550 connections; the learned limit stays
+// far below.
+constexpr std::size_t MaxBackendConnections = 300;
 
 std::string toMilliseconds(Duration Time) {
   return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(Time).count());
 }
 
+CallResult resultOf(const HttpResponse &Response) {
+  if (Response.Status_ == 503)
+    return CallResult::Shed;
+  // An early error is no sample of the latency of whole answers.
+  return Response.Status_ >= 500 ? CallResult::Failed : CallResult::Served;
+}
+
 } // namespace
 
 Executor::Executor(boost::asio::io_context &Io, const Settings &Config, const ConfigPart &Documents,
-                   CallContexts &Contexts)
-    : Config_(Config), Documents_(Documents), Contexts_(Contexts), Log_(makeLogger("executor")),
+                   CallContexts &Contexts, const AdmissionPart &Admission, CallAttempts &Attempts)
+    : Config_(Config), Documents_(Documents), Contexts_(Contexts), Admission_(Admission),
+      Attempts_(Attempts), Log_(makeLogger("executor")), Queue_(Io, Config),
       Backend_(Io, Config.BackendServer_, MaxBackendConnections) {}
 
 void Executor::submit(const HostId &Caller, Call Request, Reply Done) {
@@ -25,30 +37,72 @@
   RunningCall &Item = Running_[Key];
   Item.Call_ = std::move(Request);
   Item.Done_ = std::move(Done);
+  Item.Deadline_ = now() + Item.Call_.TimeLeft_;
+  const RouteSpec *Route =
+      Documents_.catalogue().matchRoute(Item.Call_.Method_, pathOf(Item.Call_.Target_));
+  if (Route != nullptr)
+    Item.Route_ = routeName(*Route);
   const Call &Current = Item.Call_;
   if (Draining_)
     finish(Key, Answer::refused(Current.Id_, Refusal::ShuttingDown));
   else if (Current.TimeLeft_ <= Duration::zero())
     finish(Key, Answer::refused(Current.Id_, Refusal::DeadlineTooShort));
-  else if (!Current.Team_.empty() && !Documents_.keys().isValid(Current.Team_, Current.KeyId_))
+  else if (!hasValidKey(Current.Team_, Current.KeyId_))
     finish(Key, Answer::refused(Current.Id_, Refusal::KeyUnknown));
+  else
+    enqueue(Key);
+}
+
+bool Executor::hasValidKey(const TeamId &Team, const std::string &KeyId) const {
+  return Team.empty() || Documents_.keys().isValid(Team, KeyId);
+}
+
+void Executor::enqueue(const CallKey &Key) {
+  RunningCall &Item = Running_.at(Key);
+  const Call &Current = Item.Call_;
+  const ClassSpec *Class = Documents_.catalogue().findClass(Current.Class_);
+  Item.Number_ = ++LastNumber_;
+  QueueEntry Entry;
+  Entry.Id_ = Item.Number_;
+  Entry.Team_ = Current.Team_;
+  Entry.KeyId_ = Current.KeyId_;
+  Entry.Standing_ = Current.Standing_;
+  Entry.Protected_ = Class != nullptr && !Class->MayBeShed_;
+  Entry.Deadline_ = Item.Deadline_;
+  Queue_.offer(Entry, [this, Key](std::optional<Refusal> Reason) { onReady(Key, Reason); });
+}
+
+void Executor::onReady(const CallKey &Key, std::optional<Refusal> Reason) {
+  RunningCall &Item = Running_.at(Key);
+  Item.Dispatched_ = !Reason;
+  if (Reason)
+    finish(Key, Answer::refused(Key.second, *Reason));
   else
     dispatch(Key);
 }
 
+void Executor::onKeysChanged() {
+  Queue_.removeIf(
+      [this](const QueueEntry &Entry) { return !hasValidKey(Entry.Team_, Entry.KeyId_); },
+      Refusal::KeyUnknown);
+}
+
 void Executor::dispatch(const CallKey &Key) {
   RunningCall &Item = Running_.at(Key);
-  const Call &Current = Item.Call_;
+  Call &Current = Item.Call_;
+  Current.TimeLeft_ = Item.Deadline_ - now();
+  Item.SentAt_ = now();
   CallContext Context;
+  Context.Route_ = Item.Route_;
   Context.Request_ = Current.Request_;
   Context.Team_ = Current.Team_;
   Context.KeyId_ = Current.KeyId_;
   Context.Class_ = Current.Class_;
   Context.Standing_ = Current.Standing_;
-  Context.Deadline_ = now() + Current.TimeLeft_;
+  Context.Deadline_ = Item.Deadline_;
   Context.IdempotencyKey_ = Current.IdempotencyKey_;
   // The call itself uses one attempt of its allowance.
-  Context.AttemptsLeft_ = Current.Attempts_ == 0 ? 0 : Current.Attempts_ - 1;
+  Context.Attempts_ = Attempts_.account(Context.Route_, std::max(Current.Attempts_, 1U) - 1);
   Item.Token_ = Contexts_.add(std::move(Context));
 
   HttpRequest Request;
@@ -80,6 +134,7 @@
   Answer Done;
   switch (Result) {
   case HttpResult::Answered:
+    Found->second.Result_ = resultOf(Response);
     Done.Id_ = Id;
     Done.Outcome_ = Outcome::Served;
     Done.HttpStatus_ = Response.Status_;
@@ -92,8 +147,11 @@
   case HttpResult::TimedOut:
     Done = Answer::refused(Id, Refusal::TimedOut);
     break;
-  case HttpResult::Lost:
   case HttpResult::Cancelled:
+    Found->second.Result_ = CallResult::Cancelled;
+    Done = Answer::refused(Id, Refusal::ConnectionLost);
+    break;
+  case HttpResult::Lost:
     Done = Answer::refused(Id, Refusal::ConnectionLost);
     break;
   }
@@ -106,27 +164,34 @@
     return;
   const RunningCall Item = std::move(Found->second);
   Running_.erase(Found);
-  const bool Ran = !Item.Token_.empty();
   Result.UnusedAttempts_ = Item.Call_.Attempts_;
-  if (const auto Context = Contexts_.remove(Item.Token_))
-    Result.UnusedAttempts_ = Context->AttemptsLeft_;
-  else if (Ran)
-    Result.UnusedAttempts_ = 0;
+  if (const auto Context = Contexts_.remove(Item.Token_)) {
+    Context->cancelChildren();
+    Result.UnusedAttempts_ = Context->Attempts_ ? Context->Attempts_->settle() : 0;
+  }
+  Result.Levels_ = Admission_.levels(Item.Route_, Queue_.threshold());
   Result.Leaving_ = Draining_;
   ++(Result.Outcome_ == Outcome::Served   ? Served_
      : Result.Outcome_ == Outcome::NotRun ? Refused_
                                           : Unknown_);
   Item.Done_(std::move(Result));
+  if (Item.Dispatched_)
+    Queue_.finished(Item.Number_, now() - Item.SentAt_, Item.Result_);
 }
 
 void Executor::cancel(const HostId &Caller, CallId Id) {
   const auto Found = Running_.find({Caller, Id});
-  if (Found != Running_.end())
+  if (Found == Running_.end())
+    return;
+  if (!Found->second.Dispatched_ && Queue_.cancel(Found->second.Number_))
+    finish(CallKey(Caller, Id), Answer::refused(Id, Refusal::Cancelled));
+  else
     Backend_.cancel(Found->second.Request_);
 }
 
 nlohmann::json Executor::dump() const {
   return {{"running", Running_.size()},
+          {"queue", Queue_.dump()},
           {"backend_server", Config_.BackendServer_.str()},
           {"backend_connections", Backend_.connections()},
           {"served", Served_},
--- a/src/node/executor.h
+++ b/src/node/executor.h
@@ -5,8 +5,10 @@
 #include <map>
 #include <utility>
 
+#include "node/admission_part.h"
 #include "node/call_contexts.h"
 #include "node/config_part.h"
+#include "node/dispatch_queue.h"
 #include "node/http_client.h"
 #include "node/part.h"
 
@@ -18,20 +20,23 @@
   using Reply = std::function<void(Answer Result)>;
 
   Executor(boost::asio::io_context &Io, const Settings &Config, const ConfigPart &Documents,
-           CallContexts &Contexts);
+           CallContexts &Contexts, const AdmissionPart &Admission, CallAttempts &Attempts);
 
   /// Takes a call. Reply is called once, unless the call is cancelled before.
   /// \param Caller node that sent the call; with the call's id it names the call.
   void submit(const HostId &Caller, Call Request, Reply Done);
-  /// Cancels a call whose answer nobody waits for.
+  /// Cancels a call that nobody needs any more, queued or running. It is still answered.
   void cancel(const HostId &Caller, CallId Id);
+  /// Refuses queued calls whose key is no longer valid; call it after a change of the documents.
+  void onKeysChanged();
   /// Refuses new calls from now on.
   void drain() { Draining_ = true; }
   std::size_t running() const { return Running_.size(); }
 
   std::string_view name() const override { return "executor"; }
   absl::Status start() override { return absl::OkStatus(); }
-  void stop() override {}
+  void stop() override { Queue_.stop(); }
+  void tick(TimePoint Now) override { Queue_.tick(Now); }
   nlohmann::json dump() const override;
 
 private:
@@ -39,10 +44,19 @@
   struct RunningCall {
     Call Call_;
     Reply Done_;
-    std::string Token_;
+    TimePoint Deadline_;
+    std::string Route_;
+    CallId Number_ = 0;       ///< in the queue
+    bool Dispatched_ = false; ///< left the queue to be run
+    TimePoint SentAt_;
+    CallResult Result_ = CallResult::Failed;
+    std::string Token_; ///< empty until the call is sent to the backend server
     HttpClient::RequestNumber Request_ = 0;
   };
 
+  bool hasValidKey(const TeamId &Team, const std::string &KeyId) const;
+  void enqueue(const CallKey &Key);
+  void onReady(const CallKey &Key, std::optional<Refusal> Reason);
   void dispatch(const CallKey &Key);
   void onBackendResult(const CallKey &Key, HttpResult Result, HttpResponse Response);
   void finish(const CallKey &Key, Answer Result);
@@ -50,7 +64,11 @@
   const Settings &Config_;
   const ConfigPart &Documents_;
   CallContexts &Contexts_;
+  const AdmissionPart &Admission_;
+  CallAttempts &Attempts_;
   Logger Log_;
+  DispatchQueue Queue_;
+  CallId LastNumber_ = 0;
   HttpClient Backend_;
   std::map<CallKey, RunningCall> Running_;
   bool Draining_ = false;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -2,6 +2,10 @@
 
 #include <functional>
 
+#include <boost/algorithm/string/predicate.hpp>
+
+#include "node/admission_part.h"
+#include "node/call_attempts.h"
 #include "node/call_contexts.h"
 #include "node/clock.h"
 #include "node/config_part.h"
@@ -33,8 +37,10 @@
   Impl(boost::asio::io_context &Io, Settings Config)
       : Io_(Io), Config_(std::move(Config)), Run_(wallMicroseconds()), Log_(makeLogger("node")),
         Timer_(Io), Links_(Io, Config_, Run_), Reader_(Io, Config_), Documents_(Reader_),
-        Executor_(Io, Config_, Documents_, Contexts_),
-        Router_({Io, Config_, Documents_, Contexts_, Links_, Executor_}, Run_),
+        Admission_(Config_), Attempts_(Config_),
+        Executor_(Io, Config_, Documents_, Contexts_, Admission_, Attempts_),
+        Router_({Io, Config_, Documents_, Contexts_, Links_, Executor_, Admission_, Attempts_},
+                Run_),
         CallerServer_(Io, Config_.CallerListen_, {},
                       [this](HttpRequest Request, const HttpExchangePtr &Exchange) {
                         Router_.handleCaller(std::move(Request), Exchange);
@@ -50,6 +56,10 @@
 
   absl::Status start() {
     Links_.setResolver([this](const HostId &Host) { return addressOf(Host); });
+    Documents_.addChangeCallback([this](const std::string &Path) {
+      if (boost::starts_with(Path, "teams/"))
+        Executor_.onKeysChanged();
+    });
     for (Part *Child : children())
       Supervisor_.add(*Child);
     for (HttpServer *Server : {&OperatorServer_, &EgressServer_}) {
@@ -79,7 +89,9 @@
   }
 
 private:
-  std::vector<Part *> children() { return {&Links_, &Reader_, &Documents_, &Executor_, &Router_}; }
+  std::vector<Part *> children() {
+    return {&Links_, &Reader_, &Documents_, &Admission_, &Executor_, &Router_};
+  }
 
   std::optional<Endpoint> addressOf(const HostId &Host) const {
     const HostSpec *Spec = Documents_.catalogue().findHost(Host);
@@ -150,6 +162,8 @@
   PeerLinks Links_;
   PlatformReader Reader_;
   ConfigPart Documents_;
+  AdmissionPart Admission_;
+  CallAttempts Attempts_;
   Executor Executor_;
   Router Router_;
   HttpServer CallerServer_;
--- a/src/node/routed_call.cpp
+++ b/src/node/routed_call.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr std::uint32_t MaxTries = 3;
+// Time after the deadline in which the executor can still tell that the call was not run.
+constexpr Duration AnswerGrace = std::chrono::milliseconds(50);
 
 HttpResponse toResponse(const Answer &Result, const RequestId &Request) {
   if (Result.Outcome_ != Outcome::Served)
@@ -23,9 +25,12 @@
 } // namespace
 
 RoutedCall::RoutedCall(Router &Owner, Call Request, HttpExchangePtr Exchange,
-                       std::shared_ptr<CallContext> Parent)
+                       std::shared_ptr<CallContext> Parent, std::string Route)
     : Owner_(Owner), Call_(std::move(Request)), Exchange_(std::move(Exchange)),
-      Parent_(std::move(Parent)), Timer_(Owner.Env_.Io_), Deadline_(now() + Call_.TimeLeft_) {}
+      Parent_(std::move(Parent)), Route_(std::move(Route)),
+      Attempts_(Parent_ ? Parent_->Attempts_
+                        : Owner.Env_.Attempts_.account("entry " + Route_, Call_.Attempts_)),
+      Timer_(Owner.Env_.Io_), Deadline_(now() + Call_.TimeLeft_) {}
 
 Duration RoutedCall::timeLeft() const { return Deadline_ - now(); }
 
@@ -36,16 +41,29 @@
     if (!Failure)
       Self->onDeadline();
   });
-  send();
+  Owner_.Env_.Attempts_.noteCall(Call_.Service_);
+  send(Answer::refused(Call_.Id_, Refusal::NoBackendServer));
 }
 
-void RoutedCall::send() {
+void RoutedCall::send(const Answer &Failed) {
   Host_ = Owner_.chooseHost(Call_, Tried_);
   if (Host_.empty()) {
-    finish(Answer::refused(Call_.Id_, Refusal::NoBackendServer));
+    finish(Failed);
     return;
   }
+  if (Attempts_) {
+    const auto Share = Attempts_->open(Call_.Id_, Call_.Service_.str());
+    if (!Share) {
+      finish(Try_ == 0 ? Answer::refused(Call_.Id_, Refusal::AttemptsExhausted) : Failed);
+      return;
+    }
+    Call_.Attempts_ = *Share;
+  }
+  if (Parent_)
+    Parent_->CancelChild_[Call_.Id_] = [Self = Ptr(this)] { Self->cancel(); };
   ++Try_;
+  Ended_ = false;
+  SentAt_ = now();
   Link_ = 0;
   Tried_.insert(Host_);
   Call_.TimeLeft_ = timeLeft();
@@ -66,17 +84,27 @@
   if (Done_ || Try != Try_)
     return;
   Link_ = Link;
-  if (Link == 0)
-    retryOrFinish(Answer::refused(Call_.Id_, Refusal::NoBackendServer));
+  if (Link != 0)
+    return;
+  Answer NotSent = Answer::refused(Call_.Id_, Refusal::NoBackendServer);
+  NotSent.UnusedAttempts_ = Call_.Attempts_;
+  Ended_ = true;
+  retryOrFinish(NotSent);
 }
 
 void RoutedCall::onAnswer(const Answer &Result) {
   if (Done_ || Result.Id_ != Call_.Id_)
     return;
-  if (Result.Outcome_ == Outcome::Served)
+  Ended_ = true;
+  Owner_.Env_.Admission_.note(Host_, Parent_ ? Parent_->Route_ : Route_, Result.Levels_);
+  if (Result.Outcome_ == Outcome::Served) {
+    Owner_.Env_.Attempts_.noteLatency(Call_.Service_, now() - SentAt_);
     finish(Result);
-  else
+  } else if (Result.Refusal_ == Refusal::Cancelled) {
+    finish(Answer::refused(Call_.Id_, Refusal::DeadlineTooShort));
+  } else {
     retryOrFinish(Result);
+  }
 }
 
 void RoutedCall::onLinkDown(const HostId &Host, LinkId Link) {
@@ -85,11 +113,15 @@
 }
 
 bool RoutedCall::mayRetry(const Answer &Result) const {
-  if (Try_ >= MaxTries || timeLeft() <= Duration::zero())
+  if (Try_ >= MaxTries || Cancelled_)
     return false;
-  if (Result.Outcome_ == Outcome::NotRun)
-    return refusalInfo(Result.Refusal_).MayRetry_;
-  return Call_.Idempotent_ && !Call_.AtMostOnce_;
+  FailedCall Failed;
+  Failed.Service_ = Call_.Service_;
+  Failed.Outcome_ = Result.Outcome_;
+  Failed.Refusal_ = Result.Refusal_;
+  Failed.Idempotent_ = Call_.Idempotent_ && !Call_.AtMostOnce_;
+  Failed.TimeLeft_ = timeLeft();
+  return Owner_.Env_.Attempts_.mayRetry(Failed);
 }
 
 void RoutedCall::retryOrFinish(const Answer &Result) {
@@ -99,29 +131,45 @@
   }
   // Each try has an id of its own, so that a late answer to an earlier one is not taken for this.
   const Ptr Keep(this);
+  endTry(Result);
   Owner_.Running_.erase(Call_.Id_);
   Call_.Id_ = ++Owner_.LastCall_;
-  Call_.Attempts_ = std::min(Call_.Attempts_ - 1, Result.UnusedAttempts_);
-  if (Call_.Attempts_ == 0) {
-    finish(Answer::refused(Call_.Id_, Refusal::AttemptsExhausted));
-    return;
-  }
   Owner_.Running_.emplace(Call_.Id_, Keep);
-  send();
+  send(Result);
+}
+
+void RoutedCall::endTry(const Answer &Result) {
+  // A lost answer loses its allowance.
+  if (Attempts_ && Ended_)
+    Attempts_->close(Call_.Id_, Result.UnusedAttempts_);
+  if (Parent_)
+    Parent_->CancelChild_.erase(Call_.Id_);
 }
 
 void RoutedCall::onDeadline() {
   if (Done_)
     return;
+  Cancelled_ = true;
   const bool NeverSent = Host_ != Owner_.Env_.Config_.Host_ && Link_ == 0 && Try_ <= 1;
-  const Refusal Reason = NeverSent ? Refusal::DeadlineTooShort : Refusal::TimedOut;
-  cancel();
-  finish(Answer::refused(Call_.Id_, Reason));
+  if (NeverSent) {
+    finish(Answer::refused(Call_.Id_, Refusal::DeadlineTooShort));
+    return;
+  }
+  Timer_.expires_after(AnswerGrace);
+  Timer_.async_wait([Self = Ptr(this)](const boost::system::error_code &Failure) {
+    if (!Failure)
+      Self->finish(Answer::refused(Self->Call_.Id_, Refusal::TimedOut));
+  });
+  sendCancel();
 }
 
 void RoutedCall::cancel() {
-  if (Done_)
+  if (Done_ || std::exchange(Cancelled_, true))
     return;
+  sendCancel();
+}
+
+void RoutedCall::sendCancel() {
   if (Host_ == Owner_.Env_.Config_.Host_)
     Owner_.Env_.Executor_.cancel(Host_, Call_.Id_);
   else if (Link_ != 0)
@@ -134,8 +182,7 @@
   const Ptr Keep(this);
   Done_ = true;
   Timer_.cancel();
-  if (Parent_)
-    Parent_->AttemptsLeft_ += std::min(Result.UnusedAttempts_, Call_.Attempts_);
+  endTry(Result);
   ++Owner_.Outcomes_[Result.Outcome_ == Outcome::Served
                          ? "served"
                          : std::string(refusalInfo(Result.Refusal_).Name_)];
--- a/src/node/routed_call.h
+++ b/src/node/routed_call.h
@@ -15,24 +15,27 @@
     : public boost::intrusive_ref_counter<RoutedCall, boost::thread_unsafe_counter> {
 public:
   RoutedCall(Router &Owner, Call Request, HttpExchangePtr Exchange,
-             std::shared_ptr<CallContext> Parent);
+             std::shared_ptr<CallContext> Parent, std::string Route);
 
   void start();
   void onAnswer(const Answer &Result);
   void onLinkDown(const HostId &Host, LinkId Link);
   const HostId &host() const { return Host_; }
-  /// The caller has gone away.
+  /// The caller has gone away or the parent call has ended.
   void cancel();
 
 private:
   using Ptr = boost::intrusive_ptr<RoutedCall>;
 
-  void send();
+  /// \param Failed end of the previous try, which is the end of the call if no host is left.
+  void send(const Answer &Failed);
   void sendRemote();
   void onSent(std::uint32_t Try, LinkId Link);
   void onDeadline();
+  void sendCancel();
   bool mayRetry(const Answer &Result) const;
   void retryOrFinish(const Answer &Result);
+  void endTry(const Answer &Result);
   void finish(const Answer &Result);
   Duration timeLeft() const;
 
@@ -40,12 +43,17 @@
   Call Call_;
   HttpExchangePtr Exchange_;
   std::shared_ptr<CallContext> Parent_; ///< null for a caller's request
+  std::string Route_;                   ///< name of the call's own route
+  AttemptAccountPtr Attempts_;          ///< the parent's, or the request's own at the entry
   boost::asio::steady_timer Timer_;
   TimePoint Deadline_;
+  TimePoint SentAt_;
   std::set<HostId> Tried_;
   HostId Host_;     ///< host that the call was sent to last
   LinkId Link_ = 0; ///< link that it was sent over; 0 while it waits for a link
   std::uint32_t Try_ = 0;
+  bool Ended_ = false; ///< the end of the current try is known, with its unused attempts
+  bool Cancelled_ = false;
   bool Done_ = false;
 };
 
--- a/src/node/router.cpp
+++ b/src/node/router.cpp
@@ -92,7 +92,12 @@
   }
   Partial.TimeLeft_ = Class->Within_;
   Partial.Attempts_ = Class->MaxAttempts_;
-  Partial.Standing_ = {Documents.rankOf(Class->Name_), 0};
+  const auto Value = Env_.Admission_.admit(
+      routeName(*Route), Partial.Team_, Documents.rankOf(Class->Name_),
+      XXH3_64bits(Partial.Request_.str().data(), Partial.Request_.str().size()));
+  if (!Value)
+    return Refuse(Refusal::Overloaded);
+  Partial.Standing_ = *Value;
   route(std::move(Request), Exchange, std::move(Partial), *Route, nullptr);
 }
 
@@ -110,15 +115,12 @@
       Env_.Documents_.catalogue().matchRoute(Request.Method_, pathOf(Request.Target_));
   if (Route == nullptr)
     return Refuse(Refusal::RouteUnknown);
-  if (Parent->AttemptsLeft_ == 0)
-    return Refuse(Refusal::AttemptsExhausted);
   Call Partial;
   Partial.Request_ = Parent->Request_;
   Partial.Team_ = Parent->Team_;
   Partial.KeyId_ = Parent->KeyId_;
   Partial.Standing_ = Parent->Standing_;
   Partial.TimeLeft_ = Parent->Deadline_ - now();
-  Partial.Attempts_ = std::exchange(Parent->AttemptsLeft_, 0);
   if (!Parent->IdempotencyKey_.empty())
     Partial.IdempotencyKey_ = Parent->IdempotencyKey_ + "/" + std::to_string(++Parent->ChildCalls_);
   route(std::move(Request), Exchange, std::move(Partial), *Route, Parent);
@@ -127,8 +129,6 @@
 void Router::route(HttpRequest Request, const HttpExchangePtr &Exchange, Call Partial,
                    const RouteSpec &Route, const std::shared_ptr<CallContext> &Parent) {
   const auto Refuse = [&](Refusal Reason) {
-    if (Parent)
-      Parent->AttemptsLeft_ += Partial.Attempts_;
     ++Outcomes_[std::string(refusalInfo(Reason).Name_)];
     Exchange->respond(refusalResponse(Reason, Partial.Request_));
   };
@@ -162,7 +162,8 @@
   Partial.Headers_ = std::move(Request.Headers_);
   Partial.Body_ = std::move(Request.Body_);
   const CallId Id = Partial.Id_;
-  const RoutedCallPtr Item(new RoutedCall(*this, std::move(Partial), Exchange, Parent));
+  const RoutedCallPtr Item(
+      new RoutedCall(*this, std::move(Partial), Exchange, Parent, routeName(Route)));
   Running_.emplace(Id, Item);
   Item->start();
 }
--- a/src/node/router.h
+++ b/src/node/router.h
@@ -7,6 +7,8 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include "node/admission_part.h"
+#include "node/call_attempts.h"
 #include "node/call_contexts.h"
 #include "node/caller_key.h"
 #include "node/config_part.h"
@@ -30,6 +32,8 @@
     CallContexts &Contexts_;
     PeerLinks &Links_;
     Executor &Executor_;
+    AdmissionPart &Admission_;
+    CallAttempts &Attempts_;
   };
 
   Router(const Parts &Environment, Incarnation Run);
