--- a/bench/replay.cpp
+++ b/bench/replay.cpp
@@ -118,6 +118,7 @@
       const auto Time = std::chrono::duration_cast<milliseconds>(Now - Begin_);
       count(Result_.ServedByBin_, Time);
       count(Result_.ServedByClassAndBin_[Request.Class_], Time);
+      count(Result_.ServedByTeamAndBin_[Request.Team_], Time);
       for (Tally *Entry : tallies(Request))
         ++Entry->Served_;
       return;
--- a/bench/replay.h
+++ b/bench/replay.h
@@ -32,6 +32,7 @@
   std::vector<std::uint64_t> SentByBin_;   ///< requests by the time of their first try
   std::vector<std::uint64_t> ServedByBin_; ///< requests by the time of their answer
   std::map<std::string, std::vector<std::uint64_t>> ServedByClassAndBin_;
+  std::map<std::string, std::vector<std::uint64_t>> ServedByTeamAndBin_;
 
   /// Requests served a second between two times of the trace.
   double goodput(std::chrono::milliseconds From, std::chrono::milliseconds To) const;
