Take all ports of a test host at once

A run of surge_bench failed to start a node with listen_failed on its peer port. Ports were taken and let go one by one, so the kernel could give one of them twice. They are now held until the last is taken.

--- a/bench/surge_reference.cpp
+++ b/bench/surge_reference.cpp
@@ -62,6 +62,7 @@
 /// Gives each its demand up to an equal share of the total.
 std::map<std::string, double> maxMin(const std::map<std::string, double> &Demands, double Total) {
   std::vector<std::pair<double, std::string>> Order;
+  Order.reserve(Demands.size());
   for (const auto &[Name, Demand] : Demands)
     Order.emplace_back(Demand, Name);
   std::sort(Order.begin(), Order.end());
--- a/tests/integration/fleet.cpp
+++ b/tests/integration/fleet.cpp
@@ -21,12 +21,18 @@
 
 constexpr std::chrono::milliseconds StartLimit{10'000};
 
-/// Takes a free port of an address from the kernel.
-Endpoint freeEndpoint(const std::string &Address) {
+/// Takes free ports of an address from the kernel. All are held until the last is taken, because
+/// the kernel may give a port that was let go again: a node then fails with listen_failed.
+void takePorts(const std::string &Address, const std::vector<Endpoint *> &Endpoints) {
   boost::asio::io_context Io;
-  boost::asio::ip::tcp::acceptor Acceptor(Io, {boost::asio::ip::make_address(Address), 0},
-                                          /*reuse_addr=*/true);
-  return {Address, Acceptor.local_endpoint().port()};
+  std::vector<boost::asio::ip::tcp::acceptor> Acceptors;
+  Acceptors.reserve(Endpoints.size());
+  for (Endpoint *Item : Endpoints) {
+    Acceptors.emplace_back(
+        Io, boost::asio::ip::tcp::endpoint(boost::asio::ip::make_address(Address), 0),
+        /*reuse_addr=*/true);
+    *Item = {Address, Acceptors.back().local_endpoint().port()};
+  }
 }
 
 /// Gives each host of each test process an address of its own, so that ports do not collide.
@@ -89,15 +95,13 @@
   char Name[] = "/tmp/bronzestand-fleet-XXXXXX";
   Directory_ = ::mkdtemp(Name);
   const std::string Shared = nextAddress();
-  PlatformAddress_ = freeEndpoint(Shared);
-  ProxyControl_ = freeEndpoint(Shared);
+  takePorts(Shared, {&PlatformAddress_, &ProxyControl_});
   std::vector<std::string> ProxyArguments{"--control", ProxyControl_.str()};
   for (const HostOptions &Host : Hosts_) {
     const std::string Address = nextAddress();
     Addresses &Own = Addresses_[Host.Id_];
-    for (Endpoint *Item :
-         {&Own.Caller_, &Own.Egress_, &Own.Peer_, &Own.Operator_, &Own.Backend_, &Own.PeerProxy_})
-      *Item = freeEndpoint(Address);
+    takePorts(Address, {&Own.Caller_, &Own.Egress_, &Own.Peer_, &Own.Operator_, &Own.Backend_,
+                        &Own.PeerProxy_});
     if (Path == PeerPath::Direct) {
       Own.PeerProxy_ = Own.Peer_;
       continue;
