--- a/src/node/executor.cpp
+++ b/src/node/executor.cpp
@@ -27,9 +27,10 @@
 } // namespace
 
 Executor::Executor(boost::asio::io_context &Io, const Settings &Config, const ConfigPart &Documents,
-                   CallContexts &Contexts, const AdmissionPart &Admission, CallAttempts &Attempts)
-    : Config_(Config), Documents_(Documents), Contexts_(Contexts), Admission_(Admission),
-      Attempts_(Attempts), Log_(makeLogger("executor")), Queue_(Io, Config),
+                   CallContexts &Contexts, CrashGuard &Guard, Metrics &Times,
+                   const AdmissionPart &Admission, CallAttempts &Attempts)
+    : Config_(Config), Documents_(Documents), Contexts_(Contexts), Guard_(Guard), Times_(Times),
+      Admission_(Admission), Attempts_(Attempts), Log_(makeLogger("executor")), Queue_(Io, Config),
       Backend_(Io, Config.BackendServer_,
                Config.isEnabled(Mechanism::Dispatcher) ? MaxBackendConnections
                                                        : UncontrolledConnections) {}
@@ -41,7 +42,8 @@
   RunningCall &Item = Running_[Key];
   Item.Call_ = std::move(Request);
   Item.Done_ = std::move(Done);
-  Item.Deadline_ = now() + Item.Call_.TimeLeft_;
+  Item.Submitted_ = now();
+  Item.Deadline_ = Item.Submitted_ + Item.Call_.TimeLeft_;
   const RouteSpec *Route =
       Documents_.catalogue().matchRoute(Item.Call_.Method_, pathOf(Item.Call_.Target_));
   if (Route != nullptr)
@@ -93,9 +95,22 @@
 
 void Executor::dispatch(const CallKey &Key) {
   RunningCall &Item = Running_.at(Key);
-  Call &Current = Item.Call_;
-  Current.TimeLeft_ = Item.Deadline_ - now();
-  Item.SentAt_ = now();
+  Guard_.enter(Key, Item.Call_, [this, Key](std::optional<Refusal> Reason) {
+    if (Reason)
+      finish(Key, Answer::refused(Key.second, *Reason));
+    else
+      run(Key);
+  });
+}
+
+void Executor::run(const CallKey &Key) {
+  const auto Found = Running_.find(Key);
+  if (Found == Running_.end())
+    return; // ended while it waited
+  RunningCall &Item = Found->second;
+  Item.Sent_ = now();
+  Item.Call_.TimeLeft_ = Item.Deadline_ - Item.Sent_;
+  const Call &Current = Item.Call_;
   CallContext Context;
   Context.Route_ = Item.Route_;
   Context.Request_ = Current.Request_;
@@ -134,7 +149,13 @@
   const auto Found = Running_.find(Key);
   if (Found == Running_.end())
     return;
+  Found->second.BackendTime_ = now() - Found->second.Sent_;
   const CallId Id = Found->second.Call_.Id_;
+  if (Result == HttpResult::Lost) {
+    Guard_.lost(Key,
+                [this, Key] { finish(Key, Answer::refused(Key.second, Refusal::ConnectionLost)); });
+    return;
+  }
   Answer Done;
   switch (Result) {
   case HttpResult::Answered:
@@ -168,6 +189,10 @@
     return;
   const RunningCall Item = std::move(Found->second);
   Running_.erase(Found);
+  Guard_.leave(Key, Result.Outcome_ == Outcome::Served);
+  const bool Ran = !Item.Token_.empty();
+  if (Ran)
+    Times_.executed(now() - Item.Submitted_ - Item.BackendTime_, Item.Sent_ - Item.Submitted_);
   Result.UnusedAttempts_ = Item.Call_.Attempts_;
   if (const auto Context = Contexts_.remove(Item.Token_)) {
     Context->cancelChildren();
@@ -180,14 +205,16 @@
                                           : Unknown_);
   Item.Done_(std::move(Result));
   if (Item.Dispatched_)
-    Queue_.finished(Item.Number_, now() - Item.SentAt_, Item.Result_);
+    Queue_.finished(Item.Number_, now() - Item.Sent_, Item.Result_);
 }
 
 void Executor::cancel(const HostId &Caller, CallId Id) {
   const auto Found = Running_.find({Caller, Id});
   if (Found == Running_.end())
     return;
-  if (!Found->second.Dispatched_ && Queue_.cancel(Found->second.Number_))
+  if (!Found->second.Dispatched_ && !Queue_.cancel(Found->second.Number_))
+    return;                         // is leaving the queue in this moment
+  if (Found->second.Token_.empty()) // queued, or waits to run alone
     finish(CallKey(Caller, Id), Answer::refused(Id, Refusal::Cancelled));
   else
     Backend_.cancel(Found->second.Request_);
--- a/src/node/executor.h
+++ b/src/node/executor.h
@@ -8,8 +8,10 @@
 #include "node/admission_part.h"
 #include "node/call_contexts.h"
 #include "node/config_part.h"
+#include "node/crash_guard.h"
 #include "node/dispatch_queue.h"
 #include "node/http_client.h"
+#include "node/metrics.h"
 #include "node/part.h"
 
 namespace bronzestand::node {
@@ -20,7 +22,8 @@
   using Reply = std::function<void(Answer Result)>;
 
   Executor(boost::asio::io_context &Io, const Settings &Config, const ConfigPart &Documents,
-           CallContexts &Contexts, const AdmissionPart &Admission, CallAttempts &Attempts);
+           CallContexts &Contexts, CrashGuard &Guard, Metrics &Times,
+           const AdmissionPart &Admission, CallAttempts &Attempts);
 
   /// Takes a call. Reply is called once, unless the call is cancelled before.
   /// \param Caller node that sent the call; with the call's id it names the call.
@@ -44,11 +47,13 @@
   struct RunningCall {
     Call Call_;
     Reply Done_;
+    TimePoint Submitted_;
     TimePoint Deadline_;
+    TimePoint Sent_;
+    Duration BackendTime_{};
     std::string Route_;
     CallId Number_ = 0;       ///< in the queue
     bool Dispatched_ = false; ///< left the queue to be run
-    TimePoint SentAt_;
     CallResult Result_ = CallResult::Failed;
     std::string Token_; ///< empty until the call is sent to the backend server
     HttpClient::RequestNumber Request_ = 0;
@@ -58,12 +63,15 @@
   void enqueue(const CallKey &Key);
   void onReady(const CallKey &Key, std::optional<Refusal> Reason);
   void dispatch(const CallKey &Key);
+  void run(const CallKey &Key);
   void onBackendResult(const CallKey &Key, HttpResult Result, HttpResponse Response);
   void finish(const CallKey &Key, Answer Result);
 
   const Settings &Config_;
   const ConfigPart &Documents_;
   CallContexts &Contexts_;
+  CrashGuard &Guard_;
+  Metrics &Times_;
   const AdmissionPart &Admission_;
   CallAttempts &Attempts_;
   Logger Log_;
--- a/src/node/routed_call.cpp
+++ b/src/node/routed_call.cpp
@@ -35,7 +35,15 @@
       Parent_(std::move(Parent)), Route_(std::move(Route)),
       Attempts_(Parent_ ? Parent_->Attempts_
                         : Owner.Env_.Attempts_.account("entry " + Route_, Call_.Attempts_)),
-      Timer_(Owner.Env_.Io_), Deadline_(now() + Call_.TimeLeft_) {}
+      Timer_(Owner.Env_.Io_), Deadline_(now() + Call_.TimeLeft_), Started_(now()) {
+  Record_.Request_ = Call_.Request_;
+  Record_.Team_ = Call_.Team_;
+  Record_.Class_ = Call_.Class_;
+  Record_.Service_ = Call_.Service_;
+  Record_.Method_ = Call_.Method_;
+  Record_.Child_ = Parent_ != nullptr;
+  Record_.Allowance_ = Attempts_ ? Attempts_->balance() : Call_.Attempts_;
+}
 
 Duration RoutedCall::timeLeft() const { return Deadline_ - now(); }
 
@@ -47,28 +55,32 @@
       Self->onDeadline();
   });
   Owner_.Env_.Attempts_.noteCall(Call_.Service_);
-  send(Answer::refused(Call_.Id_, Refusal::NoBackendServer));
+  send();
 }
 
-void RoutedCall::send(const Answer &Failed) {
+void RoutedCall::send() {
   Host_ = Owner_.chooseHost(Call_, Tried_);
   if (Host_.empty()) {
-    finish(Failed);
+    const bool AllBusy = Owner_.Env_.Hosts_.hasHosts(Call_.Service_);
+    const Refusal Reason = AllBusy ? Refusal::Overloaded : Refusal::NoBackendServer;
+    finish(Answer::refused(Call_.Id_, LastRefusal_.value_or(Reason)));
     return;
   }
   if (Attempts_) {
     const auto Share = Attempts_->open(Call_.Id_, Call_.Service_.str());
     if (!Share) {
-      finish(Try_ == 0 ? Answer::refused(Call_.Id_, Refusal::AttemptsExhausted) : Failed);
+      finish(Answer::refused(Call_.Id_, LastRefusal_.value_or(Refusal::AttemptsExhausted)));
       return;
     }
     Call_.Attempts_ = *Share;
   }
   if (Parent_)
     Parent_->CancelChild_[Call_.Id_] = [Self = Ptr(this)] { Self->cancel(); };
+  Owner_.Env_.Hosts_.started(Host_);
+  TryRuns_ = true;
+  TryStarted_ = now();
   ++Try_;
   Ended_ = false;
-  SentAt_ = now();
   Link_ = 0;
   Tried_.insert(Host_);
   Call_.TimeLeft_ = timeLeft();
@@ -81,6 +93,12 @@
 }
 
 void RoutedCall::sendRemote() {
+  if (!Owner_.Env_.LinkBudget_.mayCall(Host_, Call_)) {
+    Answer Result = Answer::refused(Call_.Id_, Refusal::Overloaded);
+    Result.UnusedAttempts_ = Call_.Attempts_;
+    retryOrFinish(Result);
+    return;
+  }
   Owner_.Env_.Links_.send(Host_, MessageKind::Call, Call_,
                           [Self = Ptr(this), Try = Try_](LinkId Link) { Self->onSent(Try, Link); });
 }
@@ -91,10 +109,10 @@
   Link_ = Link;
   if (Link != 0)
     return;
-  Answer NotSent = Answer::refused(Call_.Id_, Refusal::NoBackendServer);
-  NotSent.UnusedAttempts_ = Call_.Attempts_;
+  Answer Result = Answer::refused(Call_.Id_, Refusal::NoBackendServer);
+  Result.UnusedAttempts_ = Call_.Attempts_; // the call was never written
   Ended_ = true;
-  retryOrFinish(NotSent);
+  retryOrFinish(Result);
 }
 
 void RoutedCall::onAnswer(const Answer &Result) {
@@ -103,7 +121,7 @@
   Ended_ = true;
   Owner_.Env_.Admission_.note(Host_, Parent_ ? Parent_->Route_ : Route_, Result.Levels_);
   if (Result.Outcome_ == Outcome::Served) {
-    Owner_.Env_.Attempts_.noteLatency(Call_.Service_, now() - SentAt_);
+    Owner_.Env_.Attempts_.noteLatency(Call_.Service_, now() - TryStarted_);
     finish(Result);
   } else if (Result.Refusal_ == Refusal::Cancelled) {
     finish(Answer::refused(Call_.Id_, Refusal::DeadlineTooShort));
@@ -120,7 +138,7 @@
 }
 
 bool RoutedCall::mayRetry(const Answer &Result) const {
-  if (Try_ >= MaxTries || Cancelled_)
+  if (Cancelled_ || Try_ >= MaxTries)
     return false;
   FailedCall Failed;
   Failed.Service_ = Call_.Service_;
@@ -131,31 +149,45 @@
   return Owner_.Env_.Attempts_.mayRetry(Failed);
 }
 
+void RoutedCall::endTry(const Answer &Result) {
+  if (Attempts_)
+    Attempts_->close(Call_.Id_, Result.UnusedAttempts_, Ended_ ? endOf(Result) : CallEnd::Lost);
+  if (Parent_)
+    Parent_->CancelChild_.erase(Call_.Id_);
+  if (!std::exchange(TryRuns_, false))
+    return;
+  const Duration Time = now() - TryStarted_;
+  const bool Served = Result.Outcome_ == Outcome::Served;
+  Record_.Tries_.push_back({Host_, Result.Outcome_,
+                            Served ? std::nullopt : std::optional<Refusal>(Result.Refusal_), Time});
+  const bool Ended = Cancelled_ && !Expired_ && !Served;
+  // A cancelled call says nothing about its host.
+  Owner_.Env_.Hosts_.finished(Host_, Time,
+                              Ended ? Answer::refused(Call_.Id_, Refusal::Cancelled) : Result);
+}
+
 void RoutedCall::retryOrFinish(const Answer &Result) {
+  endTry(Result);
   if (!mayRetry(Result)) {
     finish(Result);
     return;
   }
+  if (Result.Outcome_ == Outcome::Unknown)
+    MayHaveRun_ = Result.Refusal_;
+  LastRefusal_ = Result.Refusal_;
   // Each try has an id of its own, so that a late answer to an earlier one is not taken for this.
   const Ptr Keep(this);
-  endTry(Result);
   Owner_.Running_.erase(Call_.Id_);
   Call_.Id_ = ++Owner_.LastCall_;
   Owner_.Running_.emplace(Call_.Id_, Keep);
-  send(Result);
-}
-
-void RoutedCall::endTry(const Answer &Result) {
-  if (Attempts_)
-    Attempts_->close(Call_.Id_, Result.UnusedAttempts_, Ended_ ? endOf(Result) : CallEnd::Lost);
-  if (Parent_)
-    Parent_->CancelChild_.erase(Call_.Id_);
+  send();
 }
 
 void RoutedCall::onDeadline() {
   if (Done_)
     return;
   Cancelled_ = true;
+  Expired_ = true;
   const bool NeverSent = Host_ != Owner_.Env_.Config_.Host_ && Link_ == 0 && Try_ <= 1;
   if (NeverSent) {
     finish(Answer::refused(Call_.Id_, Refusal::DeadlineTooShort));
@@ -182,16 +214,26 @@
     Owner_.Env_.Links_.send(Host_, MessageKind::Cancel, Call_.Id_);
 }
 
-void RoutedCall::finish(const Answer &Result) {
+void RoutedCall::finish(const Answer &Last) {
   if (Done_)
     return;
   const Ptr Keep(this);
+  endTry(Last);
+  Answer Result = Last;
+  // "Not run" holds for the whole request only if no earlier try may have run.
+  if (MayHaveRun_ && Result.Outcome_ == Outcome::NotRun) {
+    Result.Outcome_ = Outcome::Unknown;
+    Result.Refusal_ = *MayHaveRun_;
+  }
   Done_ = true;
   Timer_.cancel();
-  endTry(Result);
-  ++Owner_.Outcomes_[Result.Outcome_ == Outcome::Served
-                         ? "served"
-                         : std::string(refusalInfo(Result.Refusal_).Name_)];
+  Record_.Path_ = std::string(pathOf(Call_.Target_));
+  Record_.Unused_ = Result.UnusedAttempts_;
+  Record_.Outcome_ = Result.Outcome_;
+  if (Result.Outcome_ != Outcome::Served)
+    Record_.Refusal_ = Result.Refusal_;
+  Record_.Whole_ = now() - Started_;
+  Owner_.record(std::move(Record_));
   Owner_.finished(Call_.Id_);
   Exchange_->respond(toResponse(Result, Call_.Request_));
   Exchange_ = nullptr;
--- a/src/node/routed_call.h
+++ b/src/node/routed_call.h
@@ -27,16 +27,16 @@
 private:
   using Ptr = boost::intrusive_ptr<RoutedCall>;
 
-  /// \param Failed end of the previous try, which is the end of the call if no host is left.
-  void send(const Answer &Failed);
+  void send();
   void sendRemote();
   void onSent(std::uint32_t Try, LinkId Link);
   void onDeadline();
   void sendCancel();
   bool mayRetry(const Answer &Result) const;
   void retryOrFinish(const Answer &Result);
-  void endTry(const Answer &Result);
   void finish(const Answer &Result);
+  /// Settles the present try: its attempts, and once its end for the balancer.
+  void endTry(const Answer &Result);
   Duration timeLeft() const;
 
   Router &Owner_;
@@ -47,14 +47,20 @@
   AttemptAccountPtr Attempts_;          ///< the parent's, or the request's own at the entry
   boost::asio::steady_timer Timer_;
   TimePoint Deadline_;
-  TimePoint SentAt_;
   std::set<HostId> Tried_;
   HostId Host_;     ///< host that the call was sent to last
   LinkId Link_ = 0; ///< link that it was sent over; 0 while it waits for a link
   std::uint32_t Try_ = 0;
-  bool Ended_ = false; ///< the end of the current try is known, with its unused attempts
-  bool Cancelled_ = false;
+  bool Ended_ = false;   ///< the end of the current try is known, with its unused attempts
+  bool Expired_ = false; ///< the deadline has passed
   bool Done_ = false;
+  bool TryRuns_ = false;
+  bool Cancelled_ = false; ///< nobody waits any more, or the deadline has passed
+  TimePoint TryStarted_;
+  TimePoint Started_;
+  RequestRecord Record_;
+  std::optional<Refusal> LastRefusal_; ///< why the last try ended
+  std::optional<Refusal> MayHaveRun_;  ///< end of an earlier try that may have run
 };
 
 } // namespace bronzestand::node
