--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/algorithm/string/predicate.hpp>
 
+#include "node/admission_part.h"
+#include "node/call_attempts.h"
 #include "node/call_contexts.h"
 #include "node/clock.h"
 #include "node/config_part.h"
@@ -42,11 +44,12 @@
       : Io_(Io), Config_(std::move(Config)), Run_(wallMicroseconds()), Log_(makeLogger("node")),
         Timer_(Io), Links_(Io, Config_, Run_), Reader_(Io, Config_), Documents_(Reader_),
         Metrics_(Documents_), Recent_(Config_.Host_), Guard_(Io, Config_, Documents_, Links_),
-        Executor_(Io, Config_, Documents_, Contexts_, Guard_, Metrics_),
+        Admission_(Config_), Attempts_(Config_),
+        Executor_(Io, Config_, Documents_, Contexts_, Guard_, Metrics_, Admission_, Attempts_),
         Hosts_(Config_, Documents_, Run_), LinkBudget_(Config_, Documents_, Links_),
         Limits_(Io, Config_, Documents_, Links_, Run_),
         Router_({Io, Config_, Documents_, Contexts_, Links_, Executor_, Limits_, Hosts_,
-                 LinkBudget_, Metrics_, Recent_},
+                 LinkBudget_, Metrics_, Recent_, Admission_, Attempts_},
                 Run_),
         CallerServer_(Io, Config_.CallerListen_, {},
                       [this](HttpRequest Request, const HttpExchangePtr &Exchange) {
@@ -64,6 +67,10 @@
   absl::Status start() {
     Links_.setResolver([this](const HostId &Host) { return addressOf(Host); });
     Documents_.addChangeCallback([this](const std::string &Path) { Limits_.onChange(Path); });
+    Documents_.addChangeCallback([this](const std::string &Path) {
+      if (boost::starts_with(Path, "teams/"))
+        Executor_.onKeysChanged();
+    });
     for (Part *Child : children())
       Supervisor_.add(*Child);
     for (HttpServer *Server : {&OperatorServer_, &EgressServer_}) {
@@ -95,7 +102,7 @@
 private:
   std::vector<Part *> children() {
     return {&Links_,   &Reader_, &Documents_, &LinkBudget_, &Guard_,
-            &Metrics_, &Limits_, &Executor_,  &Router_};
+            &Metrics_, &Limits_, &Admission_, &Executor_,   &Router_};
   }
 
   std::optional<Endpoint> addressOf(const HostId &Host) const {
@@ -188,6 +195,8 @@
   Metrics Metrics_;
   RecentRequests Recent_;
   CrashGuard Guard_;
+  AdmissionPart Admission_;
+  CallAttempts Attempts_;
   Executor Executor_;
   HostChoice Hosts_;
   LinkPart LinkBudget_;
--- a/src/node/routed_call.cpp
+++ b/src/node/routed_call.cpp
@@ -7,6 +7,13 @@
 namespace {
 
 constexpr std::uint32_t MaxTries = 3;
+// Time after the deadline in which the executor can still tell that the call was not run.
+constexpr Duration AnswerGrace = std::chrono::milliseconds(50);
+
+CallEnd endOf(const Answer &Result) {
+  return Result.Outcome_ == Outcome::Served && Result.HttpStatus_ < 500 ? CallEnd::Good
+                                                                        : CallEnd::Failed;
+}
 
 HttpResponse toResponse(const Answer &Result, const RequestId &Request) {
   if (Result.Outcome_ != Outcome::Served)
@@ -23,17 +30,19 @@
 } // namespace
 
 RoutedCall::RoutedCall(Router &Owner, Call Request, HttpExchangePtr Exchange,
-                       std::shared_ptr<CallContext> Parent)
+                       std::shared_ptr<CallContext> Parent, std::string Route)
     : Owner_(Owner), Call_(std::move(Request)), Exchange_(std::move(Exchange)),
-      Parent_(std::move(Parent)), Timer_(Owner.Env_.Io_), Deadline_(now() + Call_.TimeLeft_),
-      Started_(now()) {
+      Parent_(std::move(Parent)), Route_(std::move(Route)),
+      Attempts_(Parent_ ? Parent_->Attempts_
+                        : Owner.Env_.Attempts_.account("entry " + Route_, Call_.Attempts_)),
+      Timer_(Owner.Env_.Io_), Deadline_(now() + Call_.TimeLeft_), Started_(now()) {
   Record_.Request_ = Call_.Request_;
   Record_.Team_ = Call_.Team_;
   Record_.Class_ = Call_.Class_;
   Record_.Service_ = Call_.Service_;
   Record_.Method_ = Call_.Method_;
   Record_.Child_ = Parent_ != nullptr;
-  Record_.Allowance_ = Call_.Attempts_;
+  Record_.Allowance_ = Attempts_ ? Attempts_->balance() : Call_.Attempts_;
 }
 
 Duration RoutedCall::timeLeft() const { return Deadline_ - now(); }
@@ -45,6 +54,7 @@
     if (!Failure)
       Self->onDeadline();
   });
+  Owner_.Env_.Attempts_.noteCall(Call_.Service_);
   send();
 }
 
@@ -56,10 +66,21 @@
     finish(Answer::refused(Call_.Id_, LastRefusal_.value_or(Reason)));
     return;
   }
+  if (Attempts_) {
+    const auto Share = Attempts_->open(Call_.Id_, Call_.Service_.str());
+    if (!Share) {
+      finish(Answer::refused(Call_.Id_, LastRefusal_.value_or(Refusal::AttemptsExhausted)));
+      return;
+    }
+    Call_.Attempts_ = *Share;
+  }
+  if (Parent_)
+    Parent_->CancelChild_[Call_.Id_] = [Self = Ptr(this)] { Self->cancel(); };
   Owner_.Env_.Hosts_.started(Host_);
   TryRuns_ = true;
   TryStarted_ = now();
   ++Try_;
+  Ended_ = false;
   Link_ = 0;
   Tried_.insert(Host_);
   Call_.TimeLeft_ = timeLeft();
@@ -90,16 +111,25 @@
     return;
   Answer Result = Answer::refused(Call_.Id_, Refusal::NoBackendServer);
   Result.UnusedAttempts_ = Call_.Attempts_; // the call was never written
+  Ended_ = true;
   retryOrFinish(Result);
 }
 
 void RoutedCall::onAnswer(const Answer &Result) {
   if (Done_ || Result.Id_ != Call_.Id_)
     return;
-  if (Result.Outcome_ == Outcome::Served)
+  Ended_ = true;
+  Owner_.Env_.Admission_.note(Host_, Parent_ ? Parent_->Route_ : Route_, Result.Levels_);
+  if (Result.Outcome_ == Outcome::Served) {
+    Owner_.Env_.Attempts_.noteLatency(Call_.Service_, now() - TryStarted_);
     finish(Result);
-  else
+  } else if (Result.Refusal_ == Refusal::Cancelled) {
+    finish(Answer::refused(Call_.Id_, Refusal::DeadlineTooShort));
+  } else if (Cancelled_ && Result.Outcome_ == Outcome::Unknown) {
+    finish(Answer::refused(Call_.Id_, Refusal::TimedOut));
+  } else {
     retryOrFinish(Result);
+  }
 }
 
 void RoutedCall::onLinkDown(const HostId &Host, LinkId Link) {
@@ -108,21 +138,29 @@
 }
 
 bool RoutedCall::mayRetry(const Answer &Result) const {
-  if (Cancelled_ || Try_ >= MaxTries || timeLeft() <= Duration::zero())
+  if (Cancelled_ || Try_ >= MaxTries)
     return false;
-  if (Result.Outcome_ == Outcome::NotRun)
-    return refusalInfo(Result.Refusal_).MayRetry_;
-  return Call_.Idempotent_ && !Call_.AtMostOnce_;
+  FailedCall Failed;
+  Failed.Service_ = Call_.Service_;
+  Failed.Outcome_ = Result.Outcome_;
+  Failed.Refusal_ = Result.Refusal_;
+  Failed.Idempotent_ = Call_.Idempotent_ && !Call_.AtMostOnce_;
+  Failed.TimeLeft_ = timeLeft();
+  return Owner_.Env_.Attempts_.mayRetry(Failed);
 }
 
 void RoutedCall::endTry(const Answer &Result) {
+  if (Attempts_)
+    Attempts_->close(Call_.Id_, Result.UnusedAttempts_, Ended_ ? endOf(Result) : CallEnd::Lost);
+  if (Parent_)
+    Parent_->CancelChild_.erase(Call_.Id_);
   if (!std::exchange(TryRuns_, false))
     return;
   const Duration Time = now() - TryStarted_;
   const bool Served = Result.Outcome_ == Outcome::Served;
   Record_.Tries_.push_back({Host_, Result.Outcome_,
                             Served ? std::nullopt : std::optional<Refusal>(Result.Refusal_), Time});
-  const bool Ended = Cancelled_ && !Served;
+  const bool Ended = Cancelled_ && !Expired_ && !Served;
   // A cancelled call says nothing about its host.
   Owner_.Env_.Hosts_.finished(Host_, Time,
                               Ended ? Answer::refused(Call_.Id_, Refusal::Cancelled) : Result);
@@ -141,11 +179,6 @@
   const Ptr Keep(this);
   Owner_.Running_.erase(Call_.Id_);
   Call_.Id_ = ++Owner_.LastCall_;
-  Call_.Attempts_ = std::min(Call_.Attempts_ - 1, Result.UnusedAttempts_);
-  if (Call_.Attempts_ == 0) {
-    finish(Answer::refused(Call_.Id_, Refusal::AttemptsExhausted));
-    return;
-  }
   Owner_.Running_.emplace(Call_.Id_, Keep);
   send();
 }
@@ -153,18 +186,28 @@
 void RoutedCall::onDeadline() {
   if (Done_)
     return;
+  Cancelled_ = true;
+  Expired_ = true;
   const bool NeverSent = Host_ != Owner_.Env_.Config_.Host_ && Link_ == 0 && Try_ <= 1;
-  const Refusal Reason = NeverSent ? Refusal::DeadlineTooShort : Refusal::TimedOut;
-  const Answer Result = Answer::refused(Call_.Id_, Reason);
-  endTry(Result); // before the cancellation, which would hide the time-out from the balancer
-  cancel();
-  finish(Result);
+  if (NeverSent) {
+    finish(Answer::refused(Call_.Id_, Refusal::DeadlineTooShort));
+    return;
+  }
+  Timer_.expires_after(AnswerGrace);
+  Timer_.async_wait([Self = Ptr(this)](const boost::system::error_code &Failure) {
+    if (!Failure)
+      Self->finish(Answer::refused(Self->Call_.Id_, Refusal::TimedOut));
+  });
+  sendCancel();
 }
 
 void RoutedCall::cancel() {
-  if (Done_)
+  if (Done_ || std::exchange(Cancelled_, true))
     return;
-  Cancelled_ = true;
+  sendCancel();
+}
+
+void RoutedCall::sendCancel() {
   if (Host_ == Owner_.Env_.Config_.Host_)
     Owner_.Env_.Executor_.cancel(Host_, Call_.Id_);
   else if (Link_ != 0)
@@ -184,8 +227,6 @@
   }
   Done_ = true;
   Timer_.cancel();
-  if (Parent_)
-    Parent_->AttemptsLeft_ += std::min(Result.UnusedAttempts_, Call_.Attempts_);
   Record_.Path_ = std::string(pathOf(Call_.Target_));
   Record_.Unused_ = Result.UnusedAttempts_;
   Record_.Outcome_ = Result.Outcome_;
--- a/src/node/routed_call.h
+++ b/src/node/routed_call.h
@@ -15,13 +15,13 @@
     : public boost::intrusive_ref_counter<RoutedCall, boost::thread_unsafe_counter> {
 public:
   RoutedCall(Router &Owner, Call Request, HttpExchangePtr Exchange,
-             std::shared_ptr<CallContext> Parent);
+             std::shared_ptr<CallContext> Parent, std::string Route);
 
   void start();
   void onAnswer(const Answer &Result);
   void onLinkDown(const HostId &Host, LinkId Link);
   const HostId &host() const { return Host_; }
-  /// The caller has gone away.
+  /// The caller has gone away or the parent call has ended.
   void cancel();
 
 private:
@@ -31,10 +31,11 @@
   void sendRemote();
   void onSent(std::uint32_t Try, LinkId Link);
   void onDeadline();
+  void sendCancel();
   bool mayRetry(const Answer &Result) const;
   void retryOrFinish(const Answer &Result);
   void finish(const Answer &Result);
-  /// Reports the end of the present try to the balancer, once.
+  /// Settles the present try: its attempts, and once its end for the balancer.
   void endTry(const Answer &Result);
   Duration timeLeft() const;
 
@@ -42,15 +43,19 @@
   Call Call_;
   HttpExchangePtr Exchange_;
   std::shared_ptr<CallContext> Parent_; ///< null for a caller's request
+  std::string Route_;                   ///< name of the call's own route
+  AttemptAccountPtr Attempts_;          ///< the parent's, or the request's own at the entry
   boost::asio::steady_timer Timer_;
   TimePoint Deadline_;
   std::set<HostId> Tried_;
   HostId Host_;     ///< host that the call was sent to last
   LinkId Link_ = 0; ///< link that it was sent over; 0 while it waits for a link
   std::uint32_t Try_ = 0;
+  bool Ended_ = false;   ///< the end of the current try is known, with its unused attempts
+  bool Expired_ = false; ///< the deadline has passed
   bool Done_ = false;
   bool TryRuns_ = false;
-  bool Cancelled_ = false; ///< the caller has gone away
+  bool Cancelled_ = false; ///< nobody waits any more, or the deadline has passed
   TimePoint TryStarted_;
   TimePoint Started_;
   RequestRecord Record_;
--- a/src/node/router.cpp
+++ b/src/node/router.cpp
@@ -89,7 +89,12 @@
   }
   Partial.TimeLeft_ = Class->Within_;
   Partial.Attempts_ = Class->MaxAttempts_;
-  Partial.Standing_ = {Documents.rankOf(Class->Name_), 0};
+  const auto Value =
+      Env_.Admission_.admit(routeName(*Route), Partial.Team_, Documents.rankOf(Class->Name_),
+                            std::hash<RequestId>()(Partial.Request_));
+  if (!Value)
+    return Refuse(Refusal::Overloaded);
+  Partial.Standing_ = *Value;
   route(std::move(Request), Exchange, std::move(Partial), *Route, nullptr);
 }
 
@@ -112,12 +117,9 @@
   Route = Env_.Documents_.catalogue().matchRoute(Request.Method_, pathOf(Request.Target_));
   if (Route == nullptr)
     return Refuse(Refusal::RouteUnknown);
-  if (Parent->AttemptsLeft_ == 0)
-    return Refuse(Refusal::AttemptsExhausted);
   Partial.KeyId_ = Parent->KeyId_;
   Partial.Standing_ = Parent->Standing_;
   Partial.TimeLeft_ = Parent->Deadline_ - now();
-  Partial.Attempts_ = std::exchange(Parent->AttemptsLeft_, 0);
   if (!Parent->IdempotencyKey_.empty())
     Partial.IdempotencyKey_ = Parent->IdempotencyKey_ + "/" + std::to_string(++Parent->ChildCalls_);
   route(std::move(Request), Exchange, std::move(Partial), *Route, Parent);
@@ -126,8 +128,6 @@
 void Router::route(HttpRequest Request, const HttpExchangePtr &Exchange, Call Partial,
                    const RouteSpec &Route, const std::shared_ptr<CallContext> &Parent) {
   const auto Refuse = [&](Refusal Reason) {
-    if (Parent)
-      Parent->AttemptsLeft_ += Partial.Attempts_;
     recordRefusal(Request, Partial, &Route, Parent != nullptr, Reason);
     Exchange->respond(refusalResponse(Reason, Partial.Request_));
   };
@@ -162,7 +162,7 @@
   Partial.Target_ = std::move(Request.Target_);
   Partial.Headers_ = std::move(Request.Headers_);
   Partial.Body_ = std::move(Request.Body_);
-  enter(std::move(Partial), Exchange, Parent);
+  enter(std::move(Partial), Exchange, Parent, routeName(Route));
 }
 
 HostId Router::chooseHost(const Call &Request, const std::set<HostId> &Excluded) {
--- a/src/node/router.h
+++ b/src/node/router.h
@@ -7,6 +7,8 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include "node/admission_part.h"
+#include "node/call_attempts.h"
 #include "node/call_contexts.h"
 #include "node/caller_key.h"
 #include "node/config_part.h"
@@ -39,6 +41,8 @@
     LinkPart &LinkBudget_;
     Metrics &Metrics_;
     RecentRequests &Recent_;
+    AdmissionPart &Admission_;
+    CallAttempts &Attempts_;
   };
 
   Router(const Parts &Environment, Incarnation Run);
@@ -66,9 +70,9 @@
              const RouteSpec &Route, const std::shared_ptr<CallContext> &Parent);
   /// Checks the team limit of a caller's request and starts the call.
   void enter(Call Request, const HttpExchangePtr &Exchange,
-             const std::shared_ptr<CallContext> &Parent);
+             const std::shared_ptr<CallContext> &Parent, const std::string &Route);
   void run(Call Request, const HttpExchangePtr &Exchange,
-           const std::shared_ptr<CallContext> &Parent);
+           const std::shared_ptr<CallContext> &Parent, const std::string &Route);
   void finished(CallId Id);
   void record(RequestRecord Record);
   /// Records a request that is refused before it is routed.
