Update catalogue and key table per document

Cause: each accepted document rebuilt every index of the catalogue and the whole key table, so loading was quadratic in the number of documents. A key hash in two team documents went to whichever team came first by name.

Change: put and erase replace only the entries of their document. Routes and hosts that several documents name are kept in order, so that the first one counts as before and the next one takes its place. A prefix route is found by one table access per length of prefix. The key table changes per team; a hash that any entry marks as withdrawn, or that two teams list, works for nobody.

--- a/include/bronzestand/config.h
+++ b/include/bronzestand/config.h
@@ -1,6 +1,7 @@
 #ifndef BRONZESTAND_CONFIG_H
 #define BRONZESTAND_CONFIG_H
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -102,9 +103,15 @@
 /// The documents in force, indexed for use per request (design section 4).
 class Catalogue {
 public:
+  Catalogue() = default;
+  // The indexes point into the documents.
+  Catalogue(const Catalogue &) = delete;
+  Catalogue &operator=(const Catalogue &) = delete;
+
   /// Adds a document or replaces the one of the same kind and name.
+  /// Cost: linear in the old and the new document; for a class, linear in the number of classes.
   void put(DocumentBody Body);
-  /// Removes the document at a path; does nothing if there is none.
+  /// Removes the document at a path; does nothing if there is none. Cost: as put.
   void erase(const std::string &Path);
 
   const FleetSpec &fleet() const { return Fleet_; }
@@ -124,7 +131,7 @@
   /// Finds the route of a request: an exact path goes before a prefix, a longer prefix before a
   /// shorter one, then the service's name decides.
   /// \param Path path without the query.
-  /// Cost: one table access, then linear in the number of prefix routes.
+  /// Cost: one table access, and one per length of prefix that any route has.
   const RouteSpec *matchRoute(std::string_view Method, std::string_view Path) const;
 
   /// Rank of a class, 1 to 255, higher is more important; 0 for an unknown class.
@@ -132,15 +139,20 @@
   std::uint8_t rankOf(const ClassId &Name) const;
 
 private:
+  using RouteIndex = std::unordered_map<std::string, std::vector<const RouteSpec *>>;
+
   void store(FleetSpec &&Fleet);
   void store(ClassSpec &&Class);
   void store(ServiceSpec &&Service);
   void store(TeamSpec &&Team);
   void store(HostListSpec &&List);
-  void eraseHostList(const std::string &Name);
+  void eraseService(const ServiceId &Name);
+  void eraseHostList(const std::pair<DataCentreId, ServiceId> &Name);
   void rebuildRanks();
-  void rebuildRoutes();
-  void rebuildHosts();
+  void addRoutes(const ServiceSpec &Service);
+  void removeRoutes(const ServiceSpec &Service);
+  void addHosts(const HostListSpec &List);
+  void removeHosts(const HostListSpec &List);
 
   FleetSpec Fleet_;
   std::map<ClassId, ClassSpec> Classes_;
@@ -148,9 +160,14 @@
   std::map<TeamId, TeamSpec> Teams_;
   std::map<std::pair<DataCentreId, ServiceId>, HostListSpec> HostLists_;
   std::map<ClassId, std::uint8_t> Ranks_;
-  std::unordered_map<std::string, const RouteSpec *> ExactRoutes_;
-  std::vector<const RouteSpec *> PrefixRoutes_;
-  std::unordered_map<std::string, const HostSpec *> Hosts_;
+  /// Routes by method and path. Of several services with the same route, the first by name is in
+  /// force; the others take its place when it goes.
+  RouteIndex ExactRoutes_;
+  RouteIndex PrefixRoutes_;
+  /// Number of prefix routes by the length of their path, the longest first.
+  std::map<std::size_t, std::size_t, std::greater<>> PrefixLengths_;
+  /// Entries by host id. If several lists name a host, the first by data centre and service counts.
+  std::unordered_map<std::string, std::vector<const HostSpec *>> Hosts_;
   std::unordered_map<std::string, RegionId> RegionOfDataCentre_;
 };
 
--- a/src/engine/config.cpp
+++ b/src/engine/config.cpp
@@ -203,6 +203,38 @@
   return fmt::format("{} {}", Method, Path);
 }
 
+bool isOrdered(const RouteSpec *A, const RouteSpec *B) { return A->Service_ < B->Service_; }
+
+bool isOrdered(const HostSpec *A, const HostSpec *B) {
+  return std::tie(A->DataCentre_, A->Service_) < std::tie(B->DataCentre_, B->Service_);
+}
+
+/// Adds an entry to an index whose entries of one key are kept in order.
+template <typename Index, typename Entry>
+void addEntry(Index &Target, const std::string &Key, const Entry *Value) {
+  auto &Entries = Target[Key];
+  const auto Place =
+      std::upper_bound(Entries.begin(), Entries.end(), Value,
+                       [](const Entry *A, const Entry *B) { return isOrdered(A, B); });
+  Entries.insert(Place, Value);
+}
+
+template <typename Index, typename Entry>
+void removeEntry(Index &Target, const std::string &Key, const Entry *Value) {
+  const auto Found = Target.find(Key);
+  auto &Entries = Found->second;
+  Entries.erase(std::find(Entries.begin(), Entries.end(), Value));
+  if (Entries.empty())
+    Target.erase(Found);
+}
+
+template <typename Index>
+auto firstEntry(const Index &Source, const std::string &Key) ->
+    typename Index::mapped_type::value_type {
+  const auto Found = Source.find(Key);
+  return Found == Source.end() ? nullptr : Found->second.front();
+}
+
 } // namespace
 
 ParsedDocument parseDocument(std::string_view Path, std::string_view Text) {
@@ -257,16 +289,24 @@
   return Errors;
 }
 
-void Catalogue::store(FleetSpec &&Fleet) { Fleet_ = std::move(Fleet); }
+void Catalogue::store(FleetSpec &&Fleet) {
+  Fleet_ = std::move(Fleet);
+  RegionOfDataCentre_.clear();
+  for (const auto &[Region, DataCentres] : Fleet_.Regions_)
+    for (const DataCentreId &DataCentre : DataCentres)
+      RegionOfDataCentre_.emplace(DataCentre.str(), Region);
+}
 
 void Catalogue::store(ClassSpec &&Class) {
   const ClassId Name = Class.Name_;
   Classes_.insert_or_assign(Name, std::move(Class));
+  rebuildRanks();
 }
 
 void Catalogue::store(ServiceSpec &&Service) {
   const ServiceId Name = Service.Name_;
-  Services_.insert_or_assign(Name, std::move(Service));
+  eraseService(Name);
+  addRoutes(Services_.emplace(Name, std::move(Service)).first->second);
 }
 
 void Catalogue::store(TeamSpec &&Team) {
@@ -276,14 +316,12 @@
 
 void Catalogue::store(HostListSpec &&List) {
   const std::pair Name(List.DataCentre_, List.Service_);
-  HostLists_.insert_or_assign(Name, std::move(List));
+  eraseHostList(Name);
+  addHosts(HostLists_.emplace(Name, std::move(List)).first->second);
 }
 
 void Catalogue::put(DocumentBody Body) {
   std::visit([this](auto &Value) { store(std::move(Value)); }, Body);
-  rebuildRanks();
-  rebuildRoutes();
-  rebuildHosts();
 }
 
 void Catalogue::erase(const std::string &Path) {
@@ -292,24 +330,35 @@
   if (Kind == nullptr)
     return;
   const std::string Owned(Name);
-  if (Kind->Prefix_ == "fleet")
-    Fleet_ = FleetSpec();
-  else if (Kind->Prefix_ == "classes/")
+  if (Kind->Prefix_ == "fleet") {
+    store(FleetSpec());
+  } else if (Kind->Prefix_ == "classes/") {
     Classes_.erase(ClassId(Owned));
-  else if (Kind->Prefix_ == "services/")
-    Services_.erase(ServiceId(Owned));
-  else if (Kind->Prefix_ == "teams/")
+    rebuildRanks();
+  } else if (Kind->Prefix_ == "services/") {
+    eraseService(ServiceId(Owned));
+  } else if (Kind->Prefix_ == "teams/") {
     Teams_.erase(TeamId(Owned));
-  else
-    eraseHostList(Owned);
-  rebuildRanks();
-  rebuildRoutes();
-  rebuildHosts();
+  } else {
+    const auto [DataCentre, Service] = splitName(Name);
+    eraseHostList({DataCentreId(std::string(DataCentre)), ServiceId(std::string(Service))});
+  }
 }
 
-void Catalogue::eraseHostList(const std::string &Name) {
-  const auto [DataCentre, Service] = splitName(Name);
-  HostLists_.erase({DataCentreId(std::string(DataCentre)), ServiceId(std::string(Service))});
+void Catalogue::eraseService(const ServiceId &Name) {
+  const auto Found = Services_.find(Name);
+  if (Found == Services_.end())
+    return;
+  removeRoutes(Found->second);
+  Services_.erase(Found);
+}
+
+void Catalogue::eraseHostList(const std::pair<DataCentreId, ServiceId> &Name) {
+  const auto Found = HostLists_.find(Name);
+  if (Found == HostLists_.end())
+    return;
+  removeHosts(Found->second);
+  HostLists_.erase(Found);
 }
 
 const ClassSpec *Catalogue::findClass(const ClassId &Name) const {
@@ -322,10 +371,7 @@
   return Found == Teams_.end() ? nullptr : &Found->second;
 }
 
-const HostSpec *Catalogue::findHost(const HostId &Id) const {
-  const auto Found = Hosts_.find(Id.str());
-  return Found == Hosts_.end() ? nullptr : Found->second;
-}
+const HostSpec *Catalogue::findHost(const HostId &Id) const { return firstEntry(Hosts_, Id.str()); }
 
 RegionId Catalogue::regionOf(const DataCentreId &DataCentre) const {
   const auto Found = RegionOfDataCentre_.find(DataCentre.str());
@@ -333,12 +379,16 @@
 }
 
 const RouteSpec *Catalogue::matchRoute(std::string_view Method, std::string_view Path) const {
-  const auto Exact = ExactRoutes_.find(routeKey(Method, Path));
-  if (Exact != ExactRoutes_.end())
-    return Exact->second;
-  for (const RouteSpec *Route : PrefixRoutes_)
-    if (Route->Method_ == Method && boost::starts_with(Path, Route->Path_))
+  if (const RouteSpec *Exact = firstEntry(ExactRoutes_, routeKey(Method, Path)))
+    return Exact;
+  for (const auto &[Length, Count] : PrefixLengths_) {
+    // The path of a prefix route ends in '/'.
+    if (Length > Path.size() || Path[Length - 1] != '/')
+      continue;
+    if (const RouteSpec *Route =
+            firstEntry(PrefixRoutes_, routeKey(Method, Path.substr(0, Length))))
       return Route;
+  }
   return nullptr;
 }
 
@@ -361,31 +411,35 @@
         static_cast<std::uint8_t>(255 - std::min<std::size_t>(Index, 254));
 }
 
-void Catalogue::rebuildRoutes() {
-  ExactRoutes_.clear();
-  PrefixRoutes_.clear();
-  for (const auto &[Name, Service] : Services_) {
-    for (const RouteSpec &Route : Service.Routes_) {
-      if (Route.Prefix_)
-        PrefixRoutes_.push_back(&Route);
-      else
-        ExactRoutes_.emplace(routeKey(Route.Method_, Route.Path_), &Route);
-    }
+void Catalogue::addRoutes(const ServiceSpec &Service) {
+  for (const RouteSpec &Route : Service.Routes_) {
+    addEntry(Route.Prefix_ ? PrefixRoutes_ : ExactRoutes_, routeKey(Route.Method_, Route.Path_),
+             &Route);
+    if (Route.Prefix_)
+      ++PrefixLengths_[Route.Path_.size()];
   }
-  std::stable_sort(
-      PrefixRoutes_.begin(), PrefixRoutes_.end(),
-      [](const RouteSpec *A, const RouteSpec *B) { return A->Path_.size() > B->Path_.size(); });
 }
 
-void Catalogue::rebuildHosts() {
-  Hosts_.clear();
-  for (const auto &[Name, List] : HostLists_)
-    for (const HostSpec &Host : List.Hosts_)
-      Hosts_.emplace(Host.Id_.str(), &Host);
-  RegionOfDataCentre_.clear();
-  for (const auto &[Region, DataCentres] : Fleet_.Regions_)
-    for (const DataCentreId &DataCentre : DataCentres)
-      RegionOfDataCentre_.emplace(DataCentre.str(), Region);
+void Catalogue::removeRoutes(const ServiceSpec &Service) {
+  for (const RouteSpec &Route : Service.Routes_) {
+    removeEntry(Route.Prefix_ ? PrefixRoutes_ : ExactRoutes_, routeKey(Route.Method_, Route.Path_),
+                &Route);
+    if (!Route.Prefix_)
+      continue;
+    const auto Length = PrefixLengths_.find(Route.Path_.size());
+    if (--Length->second == 0)
+      PrefixLengths_.erase(Length);
+  }
+}
+
+void Catalogue::addHosts(const HostListSpec &List) {
+  for (const HostSpec &Host : List.Hosts_)
+    addEntry(Hosts_, Host.Id_.str(), &Host);
+}
+
+void Catalogue::removeHosts(const HostListSpec &List) {
+  for (const HostSpec &Host : List.Hosts_)
+    removeEntry(Hosts_, Host.Id_.str(), &Host);
 }
 
 } // namespace bronzestand
--- a/src/engine/key_table.cpp
+++ b/src/engine/key_table.cpp
@@ -1,5 +1,6 @@
 #include "bronzestand/key_table.h"
 
+#include <algorithm>
 #include <array>
 #include <iterator>
 
@@ -8,13 +9,6 @@
 #include <openssl/evp.h>
 
 namespace bronzestand {
-namespace {
-
-std::string validIdKey(const TeamId &Team, const std::string &KeyId) {
-  return Team.str() + "/" + KeyId;
-}
-
-} // namespace
 
 std::string hashKey(std::string_view Salt, std::string_view Key) {
   const std::string Input = fmt::format("{}:{}", Salt, Key);
@@ -26,29 +20,69 @@
   return Hex;
 }
 
-void KeyTable::rebuild(const Catalogue &Documents) {
-  Salt_ = Documents.fleet().KeySalt_;
-  OwnerByHash_.clear();
-  ValidIds_.clear();
-  for (const auto &[Name, Team] : Documents.teams()) {
-    for (const KeySpec &Key : Team.Keys_) {
-      if (Key.Withdrawn_)
-        continue;
-      OwnerByHash_.emplace(Key.Hash_, KeyOwner{Name, Key.Id_});
-      ++ValidIds_[validIdKey(Name, Key.Id_)];
-    }
+bool KeyTable::isConflict(const Entries &Items) {
+  return std::any_of(Items.begin(), Items.end(), [&](const Entry &Item) {
+    return Item.Owner_.Team_ != Items.front().Owner_.Team_;
+  });
+}
+
+bool KeyTable::isUsable(const Entries &Items) {
+  return !isConflict(Items) && std::none_of(Items.begin(), Items.end(),
+                                            [](const Entry &Item) { return Item.Withdrawn_; });
+}
+
+template <typename Change> void KeyTable::changeEntries(const std::string &Hash, Change Apply) {
+  Entries &Items = ByHash_[Hash];
+  Conflicts_ -= isConflict(Items) ? 1U : 0U;
+  Apply(Items);
+  Conflicts_ += isConflict(Items) ? 1U : 0U;
+  if (Items.empty())
+    ByHash_.erase(Hash);
+}
+
+void KeyTable::setTeam(const TeamSpec &Team) {
+  eraseTeam(Team.Name_);
+  auto &Hashes = HashById_[Team.Name_];
+  for (const KeySpec &Key : Team.Keys_) {
+    Hashes[Key.Id_] = Key.Hash_;
+    changeEntries(Key.Hash_, [&](Entries &Items) {
+      Items.push_back({{Team.Name_, Key.Id_}, Key.Withdrawn_});
+    });
   }
 }
 
+void KeyTable::eraseTeam(const TeamId &Team) {
+  const auto Found = HashById_.find(Team);
+  if (Found == HashById_.end())
+    return;
+  const auto IsOwn = [&](const Entry &Item) { return Item.Owner_.Team_ == Team; };
+  for (const auto &[Id, Hash] : Found->second)
+    changeEntries(Hash, [&](Entries &Items) {
+      Items.erase(std::remove_if(Items.begin(), Items.end(), IsOwn), Items.end());
+    });
+  HashById_.erase(Found);
+}
+
+void KeyTable::rebuild(const Catalogue &Documents) {
+  *this = KeyTable();
+  setSalt(Documents.fleet().KeySalt_);
+  for (const auto &[Name, Team] : Documents.teams())
+    setTeam(Team);
+}
+
 std::optional<KeyOwner> KeyTable::authenticate(std::string_view Key) const {
-  const auto Found = OwnerByHash_.find(hashKey(Salt_, Key));
-  if (Found == OwnerByHash_.end())
+  const auto Found = ByHash_.find(hashKey(Salt_, Key));
+  if (Found == ByHash_.end() || !isUsable(Found->second))
     return std::nullopt;
-  return Found->second;
+  return Found->second.front().Owner_;
 }
 
 bool KeyTable::isValid(const TeamId &Team, const std::string &KeyId) const {
-  return ValidIds_.count(validIdKey(Team, KeyId)) != 0;
+  const auto Hashes = HashById_.find(Team);
+  if (Hashes == HashById_.end())
+    return false;
+  const auto Hash = Hashes->second.find(KeyId);
+  return Hash != Hashes->second.end() && isUsable(ByHash_.at(Hash->second));
 }
 
 } // namespace bronzestand
--- a/tests/unit/config_test.cpp
+++ b/tests/unit/config_test.cpp
@@ -60,3 +60,21 @@
   CHECK(Documents_.rankOf(ClassId("urgent")) > Documents_.rankOf(ClassId("browsing")));
   CHECK(Documents_.rankOf(ClassId("none")) == 0);
 }
+
+// Guards against indexes that keep pointers into replaced documents or lose a shadowed entry.
+TEST_CASE_METHOD(CatalogueFixture, "catalogue_replaced_documents_leave_no_entries") {
+  put("services/stock", "routes:\n- {method: GET, path: /orders/*, class: confirming}\n");
+  put("hosts/a/stock", "hosts: [{id: h1, address: 10.0.0.1, port: 1}]");
+  put("hosts/b/stock", "hosts: [{id: h1, address: 10.0.0.2, port: 2}]");
+  CHECK(Documents_.matchRoute("GET", "/orders/7")->Service_ == ServiceId("orders"));
+  CHECK(Documents_.findHost(HostId("h1"))->Port_ == 1);
+  put("services/orders", "routes:\n- {method: GET, path: /other/*, class: browsing}\n");
+  CHECK(Documents_.matchRoute("GET", "/orders/7")->Service_ == ServiceId("stock"));
+  CHECK(Documents_.matchRoute("GET", "/orders/open")->Service_ == ServiceId("stock"));
+  put("hosts/a/stock", "hosts: []");
+  CHECK(Documents_.findHost(HostId("h1"))->Port_ == 2);
+  Documents_.erase("hosts/b/stock");
+  Documents_.erase("services/stock");
+  CHECK(Documents_.findHost(HostId("h1")) == nullptr);
+  CHECK(Documents_.matchRoute("GET", "/orders/7") == nullptr);
+}
--- a/tests/unit/key_table_test.cpp
+++ b/tests/unit/key_table_test.cpp
@@ -40,3 +40,18 @@
   CHECK_FALSE(Keys_.authenticate("secret").has_value());
   CHECK_FALSE(Keys_.isValid(TeamId("wards"), "k1"));
 }
+
+// Guards against a key that works for a second team that lists its hash, and against a withdrawal
+// in one document that another document undoes.
+TEST_CASE_METHOD(KeyTableFixture, "key_of_two_teams_works_for_neither") {
+  setTeam("wards", false);
+  setTeam("clinics", false);
+  CHECK_FALSE(Keys_.authenticate("secret").has_value());
+  CHECK_FALSE(Keys_.isValid(TeamId("wards"), "k1"));
+  CHECK(Keys_.conflicts() == 1);
+  Keys_.eraseTeam(TeamId("clinics"));
+  CHECK(Keys_.authenticate("secret")->Team_ == TeamId("wards"));
+  CHECK(Keys_.conflicts() == 0);
+  setTeam("clinics", true);
+  CHECK_FALSE(Keys_.authenticate("secret").has_value());
+}
