Spread configuration between nodes

Cause: every node watched the platform on its own, so reads grew with the fleet and a node without the platform had no configuration.

Change: the configuration part drives the dissemination engine over peer links; the platform reader only reads when told to. The revision in the dump is the one up to which every change is held, because a later one may be in force while an earlier one is still on its way.

--- a/include/bronzestand/config_spread.h
+++ b/include/bronzestand/config_spread.h
@@ -154,6 +154,8 @@
   bool ready() const { return Ready_; }
   /// Tells whether this node holds a watch on the platform.
   bool isReader() const { return IsReader_; }
+  /// Every change of the platform up to this revision is held.
+  Revision covered() const { return Covered_; }
   const DocumentStore &store() const { return Store_; }
   const std::vector<HostId> &neighbours() const { return Neighbours_; }
   ConfigSpreadDump dump() const;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -32,8 +32,8 @@
 public:
   Impl(boost::asio::io_context &Io, Settings Config)
       : Io_(Io), Config_(std::move(Config)), Run_(wallMicroseconds()), Log_(makeLogger("node")),
-        Timer_(Io), Links_(Io, Config_, Run_), Reader_(Io, Config_), Documents_(Reader_),
-        Executor_(Io, Config_, Documents_, Contexts_),
+        Timer_(Io), Links_(Io, Config_, Run_), Reader_(Io, Config_),
+        Documents_(Reader_, Links_, Config_, Run_), Executor_(Io, Config_, Documents_, Contexts_),
         Router_({Io, Config_, Documents_, Contexts_, Links_, Executor_}, Run_),
         CallerServer_(Io, Config_.CallerListen_, {},
                       [this](HttpRequest Request, const HttpExchangePtr &Exchange) {
--- a/src/node/platform_reader.cpp
+++ b/src/node/platform_reader.cpp
@@ -1,24 +1,26 @@
 #include "node/platform_reader.h"
 
-#include <algorithm>
+#include <optional>
+
+#include <fmt/format.h>
 
 namespace bronzestand::node {
 namespace {
 
 using nlohmann::json;
 
-constexpr Duration WatchTime = std::chrono::seconds(10);
-constexpr Duration AnswerMargin = std::chrono::seconds(2);
-constexpr Duration FirstBackOff = std::chrono::milliseconds(200);
-constexpr unsigned MaxBackOffDoublings = 4;
+/// Time for the answer itself, after the wait for a change.
+constexpr Duration AnswerTime = std::chrono::seconds(1);
+constexpr std::size_t MaxConnections = 4;
 
-std::optional<PlatformReply> parseReply(const std::string &Text) {
+std::optional<PlatformReply> parseReply(Revision Since, const std::string &Text) {
   try {
     const json In = json::parse(Text);
     PlatformReply Reply;
+    Reply.Since_ = Since;
     In.at("revision").get_to(Reply.Revision_);
     for (const json &Item : In.at("values")) {
-      PlatformValue Value;
+      Document Value;
       Item.at("path").get_to(Value.Path_);
       Item.at("revision").get_to(Value.Revision_);
       if (!Item.at("text").is_null())
@@ -34,88 +36,65 @@
 } // namespace
 
 PlatformReader::PlatformReader(boost::asio::io_context &Io, const Settings &Config)
-    : Io_(Io), Config_(Config), Log_(makeLogger("platform_reader")), Timer_(Io) {
+    : Io_(Io), Config_(Config), Log_(makeLogger("platform_reader")) {
   for (const Endpoint &Address : Config_.Platform_)
-    Clients_.push_back(std::make_unique<HttpClient>(Io_, Address, 4));
+    Clients_.push_back(std::make_unique<HttpClient>(Io_, Address, MaxConnections));
 }
 
 PlatformReader::~PlatformReader() = default;
 
-absl::Status PlatformReader::start() { return absl::OkStatus(); }
-
-void PlatformReader::stop() { setReading(false); }
-
-void PlatformReader::setReading(bool Reading) {
-  if (Reading == Reading_)
-    return;
-  Reading_ = Reading;
-  if (Reading) {
-    Log_->info("start reading");
-    Failures_ = 0;
-    readNext();
-    return;
-  }
-  Log_->info("stop reading");
-  Timer_.cancel();
-  if (Waiting_)
-    Clients_[Current_]->cancel(Request_);
+void PlatformReader::setCallbacks(ReplyCallback OnReply, FailureCallback OnFailure) {
+  OnReply_ = std::move(OnReply);
+  OnFailure_ = std::move(OnFailure);
 }
 
-void PlatformReader::readNext() {
-  if (!Reading_ || Waiting_)
-    return;
-  const std::string Since = std::to_string(Seen_);
-  const auto WatchMs = std::chrono::duration_cast<std::chrono::milliseconds>(WatchTime).count();
+void PlatformReader::read(Revision Since, Duration Wait) {
+  cancel();
+  const auto WaitMs = std::chrono::duration_cast<std::chrono::milliseconds>(Wait).count();
   HttpRequest Request;
   Request.Method_ = "GET";
-  // After a failure a plain read shows at once whether the service is back.
-  Request.Target_ = Seen_ == 0 || Failures_ != 0
-                        ? "/v1/values?since=" + Since
-                        : "/v1/watch?since=" + Since + "&wait_ms=" + std::to_string(WatchMs);
-  Waiting_ = true;
-  ++Reads_;
+  Request.Target_ = Wait == Duration::zero()
+                        ? fmt::format("/v1/values?since={}", Since)
+                        : fmt::format("/v1/watch?since={}&wait_ms={}", Since, WaitMs);
+  Pending_ = true;
+  const std::uint64_t Read = ++Reads_;
   Request_ = Clients_[Current_]->send(
-      std::move(Request), WatchTime + AnswerMargin,
-      [this](HttpResult Result, const HttpResponse &Response) { onResponse(Result, Response); });
+      std::move(Request), Wait + AnswerTime,
+      [this, Read, Since](HttpResult Result, const HttpResponse &Response) {
+        if (Pending_ && Read == Reads_)
+          onResponse(Since, Result, Response);
+      });
 }
 
-void PlatformReader::onResponse(HttpResult Result, const HttpResponse &Response) {
-  Waiting_ = false;
-  if (!Reading_)
-    return;
+void PlatformReader::cancel() {
+  if (std::exchange(Pending_, false))
+    Clients_[Current_]->cancel(Request_);
+}
+
+void PlatformReader::onResponse(Revision Since, HttpResult Result, const HttpResponse &Response) {
+  Pending_ = false;
   std::optional<PlatformReply> Reply;
   if (Result == HttpResult::Answered && Response.Status_ == 200)
-    Reply = parseReply(Response.Body_);
+    Reply = parseReply(Since, Response.Body_);
   if (!Reply) {
     if (Failures_++ == 0)
       Log_->warn("platform {} does not answer", Config_.Platform_[Current_].str());
     Current_ = (Current_ + 1) % Clients_.size();
-    scheduleNext(FirstBackOff * (1U << std::min(Failures_, MaxBackOffDoublings)));
+    OnFailure_();
     return;
   }
-  if (Failures_ != 0)
+  if (std::exchange(Failures_, 0) != 0)
     Log_->info("platform {} answers", Config_.Platform_[Current_].str());
-  Failures_ = 0;
   Bytes_ += Response.Body_.size();
-  // A stale replica may answer with an older revision; what was seen stays seen.
-  Seen_ = std::max(Seen_, Reply->Revision_);
-  if (OnReply_)
-    OnReply_(*Reply);
-  scheduleNext(Duration::zero());
-}
-
-void PlatformReader::scheduleNext(Duration Delay) {
-  Timer_.expires_after(Delay);
-  Timer_.async_wait([this](const boost::system::error_code &Failure) {
-    if (!Failure)
-      readNext();
-  });
+  OnReply_(*Reply);
 }
 
 json PlatformReader::dump() const {
-  return {{"reading", Reading_}, {"revision", Seen_},
-          {"reads", Reads_},     {"failures", Failures_},
-          {"bytes", Bytes_},     {"platform", Config_.Platform_[Current_].str()}};
+  return {{"pending", Pending_},
+          {"reads", Reads_},
+          {"failures", Failures_},
+          {"bytes", Bytes_},
+          {"platform", Config_.Platform_[Current_].str()}};
 }
 
 } // namespace bronzestand::node
