Bind membership to the peer links

Cause: the router only knew the host list, so calls went to hosts that were silent or had announced that they leave. A paused process went on with expired state.

Change: the membership part takes every message, link and handshake, sends the heartbeats and has silent links replaced. The handshake says whether the host leaves and is limited to 1 s, because it proves that the peer is at work. The router only chooses live hosts. Shutdown announces leaving on all links, and an answer of a leaving host counts as its notice. After a pause all parts drop expired state through Part::onPause before anything else; requests check for a pause too, because they may come before the first timer.

--- /dev/null
+++ b/src/node/membership_part.h
@@ -0,0 +1,67 @@
+#ifndef BRONZESTAND_NODE_MEMBERSHIP_PART_H
+#define BRONZESTAND_NODE_MEMBERSHIP_PART_H
+
+#include <functional>
+#include <map>
+#include <vector>
+
+#include "bronzestand/membership.h"
+#include "node/config_part.h"
+#include "node/log.h"
+#include "node/part.h"
+#include "node/peer_links.h"
+
+namespace bronzestand::node {
+
+/// Keeps the state of all hosts from the host list and from the peer links (design section 5).
+class MembershipPart final : public Part {
+public:
+  using PauseCallback = std::function<void(TimePoint Now)>;
+
+  MembershipPart(PeerLinks &Links, ConfigPart &Documents, const Settings &Config, Incarnation Run);
+
+  /// Told first when this process was paused; drops all state that may have expired.
+  void setPauseCallback(PauseCallback Callback) { OnPause_ = std::move(Callback); }
+  /// Checks whether this process was paused. Called before work that comes from outside, because
+  /// it may arrive before the first timer after a pause. Cost: constant unless there was a pause.
+  void checkPause(TimePoint Now);
+
+  HostState state(const HostId &Host) const { return Members_.state(Host); }
+  /// Tells whether a host may get calls.
+  bool isLive(const HostId &Host) const { return state(Host) == HostState::Live; }
+  const Membership &members() const { return Members_; }
+
+  /// Notes what an answer said of its sender.
+  void noteLeaving(const Peer &From);
+  /// Announces that this host leaves.
+  void leave();
+
+  std::string_view name() const override { return "membership"; }
+  absl::Status start() override { return absl::OkStatus(); }
+  void stop() override {}
+  void tick(TimePoint Now) override;
+  nlohmann::json dump() const override;
+
+private:
+  void apply(const MembershipEffects &Effects);
+  void on(const SendMembership &Effect);
+  void on(const ReplaceLink &Effect);
+  void on(const ProbeHost &Effect);
+  void on(const OwnPause &Effect);
+  void on(const HostStateChanged &Effect);
+  void onDocument(const std::string &Path);
+  void onLinkDown(const HostId &Host, LinkEnd Reason);
+
+  PeerLinks &Links_;
+  ConfigPart &Documents_;
+  Logger Log_;
+  Membership Members_;
+  TimePoint LastTick_;
+  PauseCallback OnPause_;
+  std::map<HostId, HostState> NotLive_; ///< listed hosts that get no calls
+  std::uint64_t Pauses_ = 0;
+};
+
+} // namespace bronzestand::node
+
+#endif
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -7,6 +7,7 @@
 #include "node/config_part.h"
 #include "node/executor.h"
 #include "node/http_server.h"
+#include "node/membership_part.h"
 #include "node/peer_links.h"
 #include "node/platform_reader.h"
 #include "node/router.h"
@@ -33,14 +34,17 @@
   Impl(boost::asio::io_context &Io, Settings Config)
       : Io_(Io), Config_(std::move(Config)), Run_(wallMicroseconds()), Log_(makeLogger("node")),
         Timer_(Io), Links_(Io, Config_, Run_), Reader_(Io, Config_),
-        Documents_(Reader_, Links_, Config_, Run_), Executor_(Io, Config_, Documents_, Contexts_),
-        Router_({Io, Config_, Documents_, Contexts_, Links_, Executor_}, Run_),
+        Documents_(Reader_, Links_, Config_, Run_), Members_(Links_, Documents_, Config_, Run_),
+        Executor_(Io, Config_, Documents_, Contexts_),
+        Router_({Io, Config_, Documents_, Contexts_, Links_, Executor_, Members_}, Run_),
         CallerServer_(Io, Config_.CallerListen_, {},
                       [this](HttpRequest Request, const HttpExchangePtr &Exchange) {
+                        Members_.checkPause(now());
                         Router_.handleCaller(std::move(Request), Exchange);
                       }),
         EgressServer_(Io, Config_.EgressListen_, {},
                       [this](HttpRequest Request, const HttpExchangePtr &Exchange) {
+                        Members_.checkPause(now());
                         Router_.handleEgress(std::move(Request), Exchange);
                       }),
         OperatorServer_(Io, Config_.OperatorListen_, {},
@@ -50,6 +54,7 @@
 
   absl::Status start() {
     Links_.setResolver([this](const HostId &Host) { return addressOf(Host); });
+    Members_.setPauseCallback([this](TimePoint Now) { Supervisor_.pause(Now); });
     for (Part *Child : children())
       Supervisor_.add(*Child);
     for (HttpServer *Server : {&OperatorServer_, &EgressServer_}) {
@@ -73,13 +78,16 @@
     Draining_ = true;
     DrainEnd_ = now() + Config_.DrainLimit_;
     Log_->info("shut down, {} requests run", Router_.running());
+    Members_.leave();
     CallerServer_.drain();
     Router_.drain();
     Executor_.drain();
   }
 
 private:
-  std::vector<Part *> children() { return {&Links_, &Reader_, &Documents_, &Executor_, &Router_}; }
+  std::vector<Part *> children() {
+    return {&Members_, &Links_, &Reader_, &Documents_, &Executor_, &Router_};
+  }
 
   std::optional<Endpoint> addressOf(const HostId &Host) const {
     const HostSpec *Spec = Documents_.catalogue().findHost(Host);
@@ -150,6 +158,7 @@
   PeerLinks Links_;
   PlatformReader Reader_;
   ConfigPart Documents_;
+  MembershipPart Members_;
   Executor Executor_;
   Router Router_;
   HttpServer CallerServer_;
--- a/src/node/part.h
+++ b/src/node/part.h
@@ -25,6 +25,9 @@
   virtual void stop() = 0;
   /// Called every 100 ms.
   virtual void tick(TimePoint Now) { (void)Now; }
+  /// Called first after this process was paused for more than 1 s. Drops all state that may have
+  /// expired: leases, admission levels, queued work.
+  virtual void onPause(TimePoint Now) { (void)Now; }
   /// State for operators. Holds no key.
   virtual nlohmann::json dump() const = 0;
 };
--- a/src/node/peer_links.cpp
+++ b/src/node/peer_links.cpp
@@ -5,16 +5,14 @@
 #include <map>
 #include <unordered_map>
 
-#include <boost/algorithm/hex.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <openssl/hmac.h>
-#include <openssl/rand.h>
 #include <websocketpp/client.hpp>
 #include <websocketpp/config/asio_no_tls.hpp>
 #include <websocketpp/config/asio_no_tls_client.hpp>
 #include <websocketpp/server.hpp>
 
 #include "node/clock.h"
+#include "node/link_proof.h"
 #include "node/log.h"
 
 namespace bronzestand::node {
@@ -26,37 +24,14 @@
 using ConnectionHandle = websocketpp::connection_hdl;
 
 constexpr std::size_t MaxFrameBytes = 8ULL * 1024 * 1024;
-constexpr std::size_t NonceBytes = 16;
 /// Messages that wait for a link to open; more are dropped, as if the network had lost them.
 constexpr std::size_t MaxWaiting = 256;
-constexpr Duration HeartbeatInterval = std::chrono::milliseconds(500);
-constexpr Duration SilenceLimit = std::chrono::seconds(2);
-constexpr Duration HandshakeLimit = std::chrono::seconds(2);
+/// A handshake proves that the peer is at work only if it is short.
+constexpr Duration HandshakeLimit = std::chrono::seconds(1);
 constexpr Duration IdleLimit = std::chrono::seconds(60);
-
-std::string hex(const unsigned char *Data, std::size_t Size) {
-  std::string Text;
-  boost::algorithm::hex_lower(Data, Data + Size, std::back_inserter(Text));
-  return Text;
-}
-
-std::string makeNonce() {
-  std::array<unsigned char, NonceBytes> Bytes{};
-  RAND_bytes(Bytes.data(), static_cast<int>(Bytes.size()));
-  return hex(Bytes.data(), Bytes.size());
-}
-
-std::string makeMac(const std::string &Secret, const std::string &Text) {
-  std::array<unsigned char, EVP_MAX_MD_SIZE> Digest{};
-  unsigned Size = 0;
-  HMAC(EVP_sha256(), Secret.data(), static_cast<int>(Secret.size()),
-       reinterpret_cast<const unsigned char *>(Text.data()), Text.size(), Digest.data(), &Size);
-  return hex(Digest.data(), Size);
-}
-
-bool equalMacs(const std::string &A, const std::string &B) {
-  return A.size() == B.size() && CRYPTO_memcmp(A.data(), B.data(), A.size()) == 0;
-}
+/// The two ends see a link become idle at slightly different times; the one that is told of the
+/// end by the other must not take it for a failure.
+constexpr Duration IdleMargin = std::chrono::seconds(2);
 
 struct WaitingMessage {
   MessageKind Kind_;
@@ -68,14 +43,14 @@
   LinkId Id_ = 0;
   ConnectionHandle Handle_;
   bool Outgoing_ = false;
-  bool Open_ = false; ///< both sides have proven the secret
+  bool Open_ = false;     ///< both sides have proven the secret
+  bool Replaces_ = false; ///< opened because earlier links are silent
+  bool Broken_ = false;   ///< found silent
   Peer Peer_;
   HostId Target_; ///< host that an outgoing link was opened for; empty if not known
   std::string OwnNonce_;
   std::string PeerNonce_;
   TimePoint Created_;
-  TimePoint LastReceived_;
-  TimePoint LastSent_;
   TimePoint LastUsed_; ///< last message other than a heartbeat
 };
 
@@ -143,6 +118,16 @@
 
   void connect(const Endpoint &Address) { openAddress(Address, HostId()); }
 
+  void open(const HostId &Host) {
+    if (!openFor(Host)) {
+      hostDown(Host, LinkEnd::Failed);
+      return;
+    }
+    for (auto &[Id, Item] : Links_)
+      if (Item.Target_ == Host && !Item.Open_)
+        Item.Replaces_ = true;
+  }
+
   bool isLinked(const HostId &Host) { return openLinkTo(Host) != nullptr; }
 
   void tick(TimePoint Now) {
@@ -151,12 +136,8 @@
       if (!Item.Open_) {
         if (Now - Item.Created_ > HandshakeLimit)
           Closing.emplace_back(Id, "handshake timed out");
-      } else if (Now - Item.LastReceived_ > SilenceLimit) {
-        Closing.emplace_back(Id, "link is silent");
       } else if (Now - Item.LastUsed_ > IdleLimit) {
         Closing.emplace_back(Id, "link is idle");
-      } else if (Now - Item.LastSent_ >= HeartbeatInterval) {
-        write(Item, MessageKind::Heartbeat, nullptr);
       }
     }
     for (const auto &[Id, Reason] : Closing)
@@ -181,9 +162,12 @@
   Resolver Resolver_;
   std::vector<LinkDownCallback> LinkDown_;
   std::vector<LinkUpCallback> LinkUp_;
+  HeardCallback Heard_;
+  std::vector<HostDownCallback> HostDown_;
   Revision ConfigRevision_ = 0;
   Revision ListRevision_ = 0;
-  std::uint64_t Epoch_ = 1;
+  std::uint64_t Epoch_ = 0;
+  bool Leaving_ = false;
 
 private:
   template <typename Endpoint> void prepare(Endpoint &Side) {
@@ -227,7 +211,7 @@
     Item.Outgoing_ = Outgoing;
     Item.Target_ = Target;
     Item.OwnNonce_ = makeNonce();
-    Item.Created_ = Item.LastReceived_ = Item.LastUsed_ = now();
+    Item.Created_ = Item.LastUsed_ = now();
     LinkByHandle_[Handle] = Item.Id_;
     return Item;
   }
@@ -291,7 +275,6 @@
     auto &Counter = Received_[static_cast<std::size_t>(Message->Kind_)];
     ++Counter.Messages_;
     Counter.Bytes_ += Frame.size();
-    Item->LastReceived_ = now();
     try {
       if (Item->Open_)
         deliver(*Item, *Message);
@@ -322,13 +305,14 @@
     };
     if (Item.Outgoing_ && Message.Kind_ == MessageKind::Challenge) {
       Item.PeerNonce_ = Message.Body_.at("nonce").get<std::string>();
-      write(Item, MessageKind::Proof, {{"nonce", Item.OwnNonce_}, {"mac", OwnMac()}});
+      write(Item, MessageKind::Proof,
+            {{"nonce", Item.OwnNonce_}, {"mac", OwnMac()}, {"leaving", Leaving_}});
       return;
     }
     if (!Item.Outgoing_ && Message.Kind_ == MessageKind::Proof) {
       Item.PeerNonce_ = Message.Body_.at("nonce").get<std::string>();
       if (PeerMacValid()) {
-        write(Item, MessageKind::Accepted, {{"mac", OwnMac()}});
+        write(Item, MessageKind::Accepted, {{"mac", OwnMac()}, {"leaving", Leaving_}});
         opened(Item, Message);
         return;
       }
@@ -344,8 +328,11 @@
 
   void opened(Link &Item, const Envelope &Message) {
     Item.Open_ = true;
-    Item.Peer_ = {Message.Sender_, Message.Incarnation_, Message.Epoch_, Item.Id_};
+    Item.Peer_ = {Message.Sender_, Message.Incarnation_, Message.Epoch_, Item.Id_,
+                  Message.Body_.at("leaving").get<bool>()};
     const HostId Host = Message.Sender_;
+    if (Item.Replaces_)
+      closeOthers(Host, Item.Id_);
     LinkByHost_[Host.str()] = Item.Id_;
     const Peer Other = Item.Peer_;
     flushWaiting(Host);
@@ -361,11 +348,12 @@
     if (Message.Epoch_ < Item.Peer_.Epoch_)
       return;
     Item.Peer_.Epoch_ = Message.Epoch_;
-    if (Message.Kind_ == MessageKind::Heartbeat)
-      return;
-    Item.LastUsed_ = now();
+    if (Message.Kind_ != MessageKind::Heartbeat)
+      Item.LastUsed_ = now();
     const MessageHandler &Handler = Handlers_[static_cast<std::size_t>(Message.Kind_)];
     const Peer From = Item.Peer_;
+    if (Heard_ && !Heard_(From))
+      return;
     if (Handler)
       Handler(From, Message.Body_);
   }
@@ -383,7 +371,6 @@
     auto &Counter = Sent_[static_cast<std::size_t>(Kind)];
     ++Counter.Messages_;
     Counter.Bytes_ += Frame.size();
-    Item.LastSent_ = now();
     return true;
   }
 
@@ -437,11 +424,38 @@
     const auto ByHost = LinkByHost_.find(Item.Peer_.Host_.str());
     if (ByHost != LinkByHost_.end() && ByHost->second == Id)
       useOtherLink(Item.Peer_.Host_);
-    if (!Item.Open_ && !Item.Target_.empty())
+    if (!Item.Open_ && !Item.Target_.empty()) {
       dropWaiting(Item.Target_);
-    if (Item.Open_)
-      for (const LinkDownCallback &Callback : LinkDown_)
-        Callback(Item.Peer_.Host_, Id);
+      if (openLinkTo(Item.Target_) == nullptr)
+        hostDown(Item.Target_, LinkEnd::Failed);
+      else if (Item.Replaces_)
+        closeOthers(Item.Target_, Id);
+    }
+    if (!Item.Open_)
+      return;
+    for (const LinkDownCallback &Callback : LinkDown_)
+      Callback(Item.Peer_.Host_, Id);
+    const bool Idle = !Item.Broken_ && now() - Item.LastUsed_ > IdleLimit - IdleMargin;
+    if (openLinkTo(Item.Peer_.Host_) == nullptr)
+      hostDown(Item.Peer_.Host_, Idle ? LinkEnd::Idle : LinkEnd::Failed);
+  }
+
+  void hostDown(const HostId &Host, LinkEnd Reason) {
+    for (const HostDownCallback &Callback : HostDown_)
+      Callback(Host, Reason);
+  }
+
+  /// Closes all open links to a host but one.
+  void closeOthers(const HostId &Host, LinkId Kept) {
+    std::vector<LinkId> Old;
+    for (auto &[Id, Item] : Links_) {
+      if (Id == Kept || !Item.Open_ || Item.Peer_.Host_ != Host)
+        continue;
+      Item.Broken_ = true;
+      Old.push_back(Id);
+    }
+    for (const LinkId Id : Old)
+      closeLink(Id, "link is replaced");
   }
 
   void useOtherLink(const HostId &Host) {
@@ -484,11 +498,17 @@
   Impl_->ConfigRevision_ = Config;
   Impl_->ListRevision_ = List;
 }
-void PeerLinks::advanceEpoch() { ++Impl_->Epoch_; }
+void PeerLinks::setHeard(HeardCallback Callback) { Impl_->Heard_ = std::move(Callback); }
+void PeerLinks::addHostDown(HostDownCallback Callback) {
+  Impl_->HostDown_.push_back(std::move(Callback));
+}
+void PeerLinks::setEpoch(std::uint64_t Epoch) { Impl_->Epoch_ = Epoch; }
+void PeerLinks::setLeaving() { Impl_->Leaving_ = true; }
 void PeerLinks::send(const HostId &To, MessageKind Kind, json Body, SentCallback OnSent) {
   Impl_->send(To, Kind, std::move(Body), std::move(OnSent));
 }
 void PeerLinks::connect(const Endpoint &Address) { Impl_->connect(Address); }
+void PeerLinks::open(const HostId &Host) { Impl_->open(Host); }
 bool PeerLinks::isLinked(const HostId &Host) const { return Impl_->isLinked(Host); }
 absl::Status PeerLinks::start() { return Impl_->start(); }
 void PeerLinks::stop() { Impl_->stop(); }
--- a/src/node/peer_links.h
+++ b/src/node/peer_links.h
@@ -22,6 +22,13 @@
   Incarnation Incarnation_ = 0;
   std::uint64_t Epoch_ = 0;
   LinkId Link_ = 0;
+  bool Leaving_ = false; ///< said so in the handshake
+};
+
+/// Why there is no link to a host any more.
+enum class LinkEnd {
+  Idle,   ///< closed on purpose
+  Failed, ///< could not be opened, or broke
 };
 
 /// Connections to other nodes over WebSocket, authenticated with the fleet's secret
@@ -34,6 +41,8 @@
   using SentCallback = std::function<void(LinkId Link)>;
   using LinkDownCallback = std::function<void(const HostId &Host, LinkId Link)>;
   using LinkUpCallback = std::function<void(const Peer &Other)>;
+  using HeardCallback = std::function<bool(const Peer &From)>;
+  using HostDownCallback = std::function<void(const HostId &Host, LinkEnd Reason)>;
 
   PeerLinks(boost::asio::io_context &Io, const Settings &Config, Incarnation Run);
   ~PeerLinks() override;
@@ -42,15 +51,24 @@
   void setResolver(Resolver Find);
   void addLinkDown(LinkDownCallback Callback);
   void addLinkUp(LinkUpCallback Callback);
+  /// Told before each message is handled; the message is dropped if it returns false.
+  void setHeard(HeardCallback Callback);
+  /// Told when the last link to a host ended, or when one could not be opened.
+  void addHostDown(HostDownCallback Callback);
   /// Revisions that every message from now on carries.
   void setRevisions(Revision Config, Revision List);
-  /// Starts a new epoch after this process was paused.
-  void advanceEpoch();
+  /// Sets the epoch of all messages from now on, after this process was paused.
+  void setEpoch(std::uint64_t Epoch);
+  /// Says in later handshakes that this host leaves.
+  void setLeaving();
 
   /// Sends a message, over a new link if there is none. May lose it; tells so through OnSent.
   void send(const HostId &To, MessageKind Kind, nlohmann::json Body, SentCallback OnSent = {});
   /// Opens a link to an address whose host is not known yet; used at start.
   void connect(const Endpoint &Address);
+  /// Opens a new link to a host. Once it is open, earlier ones are closed; if it can't be opened,
+  /// they are closed too, because they were found silent.
+  void open(const HostId &Host);
   bool isLinked(const HostId &Host) const;
 
   std::string_view name() const override { return "peer_links"; }
--- a/src/node/router.cpp
+++ b/src/node/router.cpp
@@ -49,7 +49,10 @@
                           });
   });
   Env_.Links_.setHandler(MessageKind::Answer, [this](const Peer &From, const nlohmann::json &Body) {
-    onAnswer(From.Host_, Body.get<Answer>());
+    const auto Result = Body.get<Answer>();
+    if (Result.Leaving_)
+      Env_.Members_.noteLeaving(From);
+    onAnswer(From.Host_, Result);
   });
   Env_.Links_.setHandler(MessageKind::Cancel, [this](const Peer &From, const nlohmann::json &Body) {
     Env_.Executor_.cancel(From.Host_, Body.get<CallId>());
@@ -173,7 +176,7 @@
     if (List.Service_ != Request.Service_)
       continue;
     for (const HostSpec &Host : List.Hosts_)
-      if (!Host.Leaving_ && Excluded.count(Host.Id_) == 0)
+      if (Env_.Members_.isLive(Host.Id_) && Excluded.count(Host.Id_) == 0)
         Candidates.push_back(Host.Id_);
   }
   // Resends of an idempotency key go to the same host while the list stays the same.
--- a/src/node/router.h
+++ b/src/node/router.h
@@ -12,6 +12,7 @@
 #include "node/config_part.h"
 #include "node/executor.h"
 #include "node/http_server.h"
+#include "node/membership_part.h"
 #include "node/part.h"
 #include "node/peer_links.h"
 
@@ -30,6 +31,7 @@
     CallContexts &Contexts_;
     PeerLinks &Links_;
     Executor &Executor_;
+    MembershipPart &Members_;
   };
 
   Router(const Parts &Environment, Incarnation Run);
--- a/src/node/supervisor.cpp
+++ b/src/node/supervisor.cpp
@@ -37,18 +37,26 @@
       Item->Part_->stop();
 }
 
-void Supervisor::tick(TimePoint Now) {
+template <typename Callable> void Supervisor::forEachRunning(TimePoint Now, Callable Use) {
   for (Child &Item : Children_) {
     if (!Item.Running_)
       continue;
     try {
-      Item.Part_->tick(Now);
+      Use(*Item.Part_);
     } catch (const std::exception &Failure) {
       onFailure(Item, Now, Failure.what());
     }
   }
 }
 
+void Supervisor::tick(TimePoint Now) {
+  forEachRunning(Now, [Now](Part &Item) { Item.tick(Now); });
+}
+
+void Supervisor::pause(TimePoint Now) {
+  forEachRunning(Now, [Now](Part &Item) { Item.onPause(Now); });
+}
+
 void Supervisor::onFailure(Child &Failed, TimePoint Now, const std::string &Reason) {
   Failed.LastFailure_ = Reason;
   while (!Failed.Restarts_.empty() && Now - Failed.Restarts_.front() > RestartWindow)
--- a/src/node/supervisor.h
+++ b/src/node/supervisor.h
@@ -24,6 +24,8 @@
   void stop();
   /// Runs tick() of each child. A child whose tick throws is restarted, at most 5 times in 60 s.
   void tick(TimePoint Now);
+  /// Runs onPause() of each child, with the same treatment of failures.
+  void pause(TimePoint Now);
   nlohmann::json dump() const;
 
 private:
@@ -34,6 +36,7 @@
     std::string LastFailure_;
   };
 
+  template <typename Callable> void forEachRunning(TimePoint Now, Callable Use);
   void onFailure(Child &Failed, TimePoint Now, const std::string &Reason);
 
   Logger Log_;
