Compare with new contacts at once, test dissemination in real processes

Cause: changes that brought the host list were not announced to the hosts that it names, and a host that came back after a partition waited for a random comparison; a node without a path to the platform was 7 s behind the others at start. A receiver that covered more than an equal peer did not tell it.

Change: a host that becomes a neighbour or remote reader gets a digest at once. The receiver of an equal digest answers if it covers more. Of another data centre with more than 4 silent hosts, the silent ones stay contacts, because it is cut off. The test fleet never gives one port twice, and its hosts can be without a path to the platform.

--- a/include/bronzestand/config_spread.h
+++ b/include/bronzestand/config_spread.h
@@ -199,6 +199,7 @@
   void confirm(const HostId &From, bool PeerReady, bool PeerReader, ConfigEffects &Out);
   void open(ConfigEffects &Out);
 
+  std::vector<HostId> contacts() const;
   void rebuildOverlay();
   void rebuildRemoteReaders();
   void noteStamps(TimePoint Now, const std::vector<PlatformStamp> &Stamps);
@@ -231,6 +232,7 @@
 
   std::map<std::string, PendingPull> Pulls_;
   TimePoint NextDigest_;
+  std::set<HostId> NewContacts_; ///< not compared with yet
 
   std::map<HostId, StampRecord> Stamps_;
   std::uint64_t StampSequence_ = 0;
--- a/src/engine/config_spread.cpp
+++ b/src/engine/config_spread.cpp
@@ -227,7 +227,8 @@
   // Equal versions mean equal coverage; a new reader then need not read everything again.
   Covered_ = std::max(Covered_, Message.Covered_);
   confirm(From, Message.Ready_, Message.Reader_, Out);
-  if (Message.Ask_)
+  // A sender that covers less learns so without waiting for a comparison of its own.
+  if (Message.Ask_ || Message.Covered_ < Covered_)
     Out.emplace_back(SendConfig{From, makeDigest(Now, 0)});
 }
 
@@ -290,6 +291,10 @@
 }
 
 void ConfigSpread::sendDigests(TimePoint Now, ConfigEffects &Out) {
+  // Changes from before a host became a contact were not announced to it, for example those that
+  // brought the host list itself, or those during a partition.
+  for (const HostId &To : std::exchange(NewContacts_, {}))
+    Out.emplace_back(SendConfig{To, makeDigest(Now, 0)});
   if (Now < NextDigest_)
     return;
   NextDigest_ = Now + DigestInterval * 3 / 4 + randomUpTo(DigestInterval / 2);
--- a/src/engine/config_spread_readers.cpp
+++ b/src/engine/config_spread_readers.cpp
@@ -79,9 +79,19 @@
     DataCentres_.erase(DataCentre);
   else
     DataCentres_[DataCentre] = DataCentreHosts{Region, std::move(Live)};
+  const std::vector<HostId> Old = contacts();
   if (DataCentre == Settings_.DataCentre_)
     rebuildOverlay();
   rebuildRemoteReaders();
+  for (HostId &Host : contacts())
+    if (std::find(Old.begin(), Old.end(), Host) == Old.end())
+      NewContacts_.insert(std::move(Host));
+}
+
+std::vector<HostId> ConfigSpread::contacts() const {
+  std::vector<HostId> All = Neighbours_;
+  All.insert(All.end(), RemoteReaders_.begin(), RemoteReaders_.end());
+  return All;
 }
 
 void ConfigSpread::rebuildOverlay() {
--- a/src/node/membership_part.cpp
+++ b/src/node/membership_part.cpp
@@ -10,6 +10,9 @@
 
 using nlohmann::json;
 
+/// More silent hosts of another data centre mean that it is cut off. Replacing them by further
+/// hosts would then probe the whole data centre in turn, and none would be linked when it is back.
+constexpr std::size_t MaxSilentElsewhere = 4;
 /// A longer gap between two ticks is a pause; the engine decides, this only saves its call.
 constexpr Duration PauseGap = std::chrono::seconds(1);
 
@@ -17,7 +20,7 @@
 
 MembershipPart::MembershipPart(PeerLinks &Links, ConfigPart &Documents, const Settings &Config,
                                Incarnation Run)
-    : Links_(Links), Documents_(Documents), Log_(makeLogger("membership")),
+    : Links_(Links), Documents_(Documents), Config_(Config), Log_(makeLogger("membership")),
       Members_(now(), {Config.Host_, Run}), LastTick_(now()) {
   Links_.setHeard([this](const Peer &From) {
     MembershipEffects Effects;
@@ -40,12 +43,24 @@
   });
   Links_.addHostDown([this](const HostId &Host, LinkEnd Reason) { onLinkDown(Host, Reason); });
   Documents_.addChangeCallback([this](const std::string &Path) { onDocument(Path); });
-  Documents_.setLiveHosts([this](const DataCentreId &DataCentre) {
-    std::vector<HostId> Live;
-    for (const HostSpec *Host : Members_.liveInDataCentre(DataCentre))
-      Live.push_back(Host->Id_);
-    return Live;
-  });
+  Documents_.setLiveHosts(
+      [this](const DataCentreId &DataCentre) { return hostsForSpread(DataCentre); });
+}
+
+std::vector<HostId> MembershipPart::hostsForSpread(const DataCentreId &DataCentre) const {
+  std::vector<HostId> Hosts;
+  for (const HostSpec *Host : Members_.liveInDataCentre(DataCentre))
+    Hosts.push_back(Host->Id_);
+  if (DataCentre == Config_.DataCentre_)
+    return Hosts;
+  std::vector<HostId> Silent;
+  for (const auto &[Host, State] : NotLive_)
+    if (const HostSpec *Spec = Documents_.catalogue().findHost(Host);
+        State == HostState::Silent && Spec != nullptr && Spec->DataCentre_ == DataCentre)
+      Silent.push_back(Host);
+  if (Hosts.empty() || Silent.size() > MaxSilentElsewhere)
+    Hosts.insert(Hosts.end(), Silent.begin(), Silent.end());
+  return Hosts;
 }
 
 void MembershipPart::checkPause(TimePoint Now) {
--- a/src/node/membership_part.h
+++ b/src/node/membership_part.h
@@ -49,11 +49,14 @@
   void on(const ProbeHost &Effect);
   void on(const OwnPause &Effect);
   void on(const HostStateChanged &Effect);
+  /// Hosts of a data centre that configuration may be exchanged with.
+  std::vector<HostId> hostsForSpread(const DataCentreId &DataCentre) const;
   void onDocument(const std::string &Path);
   void onLinkDown(const HostId &Host, LinkEnd Reason);
 
   PeerLinks &Links_;
   ConfigPart &Documents_;
+  const Settings &Config_;
   Logger Log_;
   Membership Members_;
   TimePoint LastTick_;
--- a/tests/integration/fleet.cpp
+++ b/tests/integration/fleet.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <atomic>
 #include <fstream>
+#include <set>
 #include <thread>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -21,12 +22,18 @@
 
 constexpr std::chrono::milliseconds StartLimit{10'000};
 
-/// Takes a free port of an address from the kernel.
+/// Takes a free port of an address from the kernel, never the same one twice: the kernel may give a
+/// port again while the process that it is meant for has not bound it yet.
 Endpoint freeEndpoint(const std::string &Address) {
-  boost::asio::io_context Io;
-  boost::asio::ip::tcp::acceptor Acceptor(Io, {boost::asio::ip::make_address(Address), 0},
-                                          /*reuse_addr=*/true);
-  return {Address, Acceptor.local_endpoint().port()};
+  static std::set<std::string> Taken;
+  for (;;) {
+    boost::asio::io_context Io;
+    boost::asio::ip::tcp::acceptor Acceptor(Io, {boost::asio::ip::make_address(Address), 0},
+                                            /*reuse_addr=*/true);
+    Endpoint Free{Address, Acceptor.local_endpoint().port()};
+    if (Taken.insert(Free.str()).second)
+      return Free;
+  }
 }
 
 /// Gives each host of each test process an address of its own, so that ports do not collide.
@@ -91,6 +98,7 @@
   const std::string Shared = nextAddress();
   PlatformAddress_ = freeEndpoint(Shared);
   ProxyControl_ = freeEndpoint(Shared);
+  ClosedAddress_ = freeEndpoint(Shared);
   std::vector<std::string> ProxyArguments{"--control", ProxyControl_.str()};
   for (const HostOptions &Host : Hosts_) {
     const std::string Address = nextAddress();
@@ -143,7 +151,8 @@
                      "peers:\n{}",
                      Host.Id_, Host.DataCentre_, Host.Region_, Host.Service_, Own.Caller_.str(),
                      Own.Egress_.str(), Own.Peer_.str(), Own.Operator_.str(), Own.Backend_.str(),
-                     PlatformAddress_.str(), Disabled_, Peers);
+                     (Host.ReachesPlatform_ ? PlatformAddress_ : ClosedAddress_).str(), Disabled_,
+                     Peers);
 }
 
 void Fleet::startNode(const std::string &Host) {
--- a/tests/integration/fleet.h
+++ b/tests/integration/fleet.h
@@ -24,6 +24,7 @@
   std::string Slots_ = "32";
   std::string ServiceTimeUs_ = "1000";
   std::vector<std::string> BackendOptions_ = {};
+  bool ReachesPlatform_ = true;
 };
 
 struct HttpReply {
@@ -75,10 +76,13 @@
   /// Publishes the host lists; hosts in Leaving are marked as leaving, hosts in Gone are left out.
   void putHosts(const std::vector<std::string> &Leaving = {},
                 const std::vector<std::string> &Gone = {});
-  /// up, down or stale.
+  /// up, down, stale (from now on it shows what it held now) or old (shows what it held when it
+  /// was last set to stale).
   void setPlatformMode(const std::string &Mode);
   nlohmann::json platformStats();
 
+  /// Revision of the last change that was published.
+  Revision lastRevision() const { return LastRevision_; }
   /// Waits until all running nodes have the newest revision of the platform in force.
   bool waitUntilInForce(std::chrono::milliseconds Limit = std::chrono::seconds(10));
 
@@ -87,6 +91,7 @@
   Process &node(const std::string &Host);
   Process &backend(const std::string &Host);
 
+  node::Endpoint platformAddress() const { return PlatformAddress_; }
   node::Endpoint callerAddress(const std::string &Host) const;
   node::Endpoint operatorAddress(const std::string &Host) const;
   node::Endpoint backendAddress(const std::string &Host) const;
@@ -117,6 +122,7 @@
   std::vector<HostOptions> Hosts_;
   std::map<std::string, Addresses> Addresses_;
   node::Endpoint PlatformAddress_;
+  node::Endpoint ClosedAddress_; ///< nothing listens here
   node::Endpoint ProxyControl_;
   std::string Directory_;
   std::string Disabled_;
--- a/tests/standins/standin_platform.cpp
+++ b/tests/standins/standin_platform.cpp
@@ -52,7 +52,8 @@
   }
 
 private:
-  const Store &visible() const { return Mode_ == "stale" ? Stale_ : Current_; }
+  /// "stale" freezes what is seen; "old" goes back to what was frozen last.
+  const Store &visible() const { return Mode_ == "stale" || Mode_ == "old" ? Stale_ : Current_; }
 
   std::string changesSince(Revision Since) const {
     json Result{{"revision", visible().Revision_}, {"values", json::array()}};
