--- a/src/node/membership_part.cpp
+++ b/src/node/membership_part.cpp
@@ -142,6 +142,8 @@
   // The first list makes all hosts live at once; they are not worth a line each.
   if (Effect.State_ != HostState::Live || !WasLive)
     Log_->info("host {} is {}", Effect.Host_.str(), hostStateName(Effect.State_));
+  for (const StateCallback &Callback : OnState_)
+    Callback(Effect.Host_);
 }
 
 json MembershipPart::dump() const {
--- a/src/node/membership_part.h
+++ b/src/node/membership_part.h
@@ -22,6 +22,9 @@
 
   /// Told first when this process was paused; drops all state that may have expired.
   void setPauseCallback(PauseCallback Callback) { OnPause_ = std::move(Callback); }
+  using StateCallback = std::function<void(const HostId &Host)>;
+  /// Told after the state of a host changed.
+  void addStateCallback(StateCallback Callback) { OnState_.push_back(std::move(Callback)); }
   /// Checks whether this process was paused. Called before work that comes from outside, because
   /// it may arrive before the first timer after a pause. Cost: constant unless there was a pause.
   void checkPause(TimePoint Now);
@@ -61,6 +64,7 @@
   Membership Members_;
   TimePoint LastTick_;
   PauseCallback OnPause_;
+  std::vector<StateCallback> OnState_;
   std::map<HostId, HostState> NotLive_; ///< listed hosts that get no calls
   std::uint64_t Pauses_ = 0;
 };
--- a/src/node/peer_links.cpp
+++ b/src/node/peer_links.cpp
@@ -167,6 +167,7 @@
 
   std::array<MessageHandler, MessageKindCount> Handlers_;
   Resolver Resolver_;
+  SentCounter SentCounter_;
   std::vector<LinkDownCallback> LinkDown_;
   std::vector<LinkUpCallback> LinkUp_;
   HeardCallback Heard_;
@@ -378,6 +379,8 @@
     auto &Counter = Sent_[static_cast<std::size_t>(Kind)];
     ++Counter.Messages_;
     Counter.Bytes_ += Frame.size();
+    if (SentCounter_ && Item.Open_)
+      SentCounter_(Item.Peer_.Host_, Kind, Frame.size());
     return true;
   }
 
@@ -494,6 +497,7 @@
 void PeerLinks::setHandler(MessageKind Kind, MessageHandler Handler) {
   Impl_->Handlers_[static_cast<std::size_t>(Kind)] = std::move(Handler);
 }
+void PeerLinks::setSentCounter(SentCounter Count) { Impl_->SentCounter_ = std::move(Count); }
 void PeerLinks::setResolver(Resolver Find) { Impl_->Resolver_ = std::move(Find); }
 void PeerLinks::addLinkDown(LinkDownCallback Callback) {
   Impl_->LinkDown_.push_back(std::move(Callback));
--- a/src/node/peer_links.h
+++ b/src/node/peer_links.h
@@ -55,6 +55,9 @@
   void setHeard(HeardCallback Callback);
   /// Told when the last link to a host ended, or when one could not be opened.
   void addHostDown(HostDownCallback Callback);
+  /// Told of every message that is written, with its size.
+  using SentCounter = std::function<void(const HostId &To, MessageKind Kind, std::size_t Bytes)>;
+  void setSentCounter(SentCounter Count);
   /// Revisions that every message from now on carries.
   void setRevisions(Revision Config, Revision List);
   /// Sets the epoch of all messages from now on, after this process was paused.
--- a/src/node/router.cpp
+++ b/src/node/router.cpp
@@ -3,10 +3,7 @@
 #include <algorithm>
 #include <charconv>
 
-#include <boost/algorithm/string/predicate.hpp>
-#include <xxhash.h>
-
-#include "bronzestand/rendezvous.h"
+#include "bronzestand/quarantine.h"
 #include "node/clock.h"
 #include "node/codec_call.h"
 #include "node/routed_call.h"
@@ -30,11 +27,6 @@
          std::all_of(Text.begin(), Text.end(), [](char C) { return C > ' ' && C <= '~'; });
 }
 
-std::uint64_t fingerprintOf(const TeamId &Team, const RouteSpec &Route, const std::string &Body) {
-  const std::string Text = Team.str() + "\n" + Route.Method_ + Route.Path_ + "\n" + Body;
-  return XXH3_64bits(Text.data(), Text.size());
-}
-
 } // namespace
 
 Router::Router(const Parts &Environment, Incarnation Run)
@@ -52,11 +44,14 @@
     const auto Result = Body.get<Answer>();
     if (Result.Leaving_)
       Env_.Members_.noteLeaving(From);
+    Env_.Hosts_.observe(From.Host_, From.Incarnation_, Result.Leaving_);
     onAnswer(From.Host_, Result);
   });
   Env_.Links_.setHandler(MessageKind::Cancel, [this](const Peer &From, const nlohmann::json &Body) {
     Env_.Executor_.cancel(From.Host_, Body.get<CallId>());
   });
+  Env_.Links_.addLinkUp(
+      [this](const Peer &Other) { Env_.Hosts_.observe(Other.Host_, Other.Incarnation_, false); });
   Env_.Links_.addLinkDown([this](const HostId &Host, LinkId Link) { onLinkDown(Host, Link); });
   return absl::OkStatus();
 }
@@ -66,8 +61,9 @@
 void Router::handleCaller(HttpRequest Request, const HttpExchangePtr &Exchange) {
   Call Partial;
   Partial.Request_ = RequestId(randomToken());
+  const RouteSpec *Route = nullptr;
   const auto Refuse = [&](Refusal Reason) {
-    ++Outcomes_[std::string(refusalInfo(Reason).Name_)];
+    recordRefusal(Request, Partial, Route, false, Reason);
     Exchange->respond(refusalResponse(Reason, Partial.Request_));
   };
   const TakenKey Taken = takeKey(Request);
@@ -76,7 +72,7 @@
   if (!Env_.Documents_.isReady())
     return Refuse(Refusal::NotReady);
   const Catalogue &Documents = Env_.Documents_.catalogue();
-  const RouteSpec *Route = Documents.matchRoute(Request.Method_, pathOf(Request.Target_));
+  Route = Documents.matchRoute(Request.Method_, pathOf(Request.Target_));
   if (Route == nullptr)
     return Refuse(Refusal::RouteUnknown);
   const ClassSpec *Class = Documents.findClass(Route->Class_);
@@ -102,22 +98,24 @@
 void Router::handleEgress(HttpRequest Request, const HttpExchangePtr &Exchange) {
   const auto Token = findHeader(Request.Headers_, "Bronzestand-Call");
   const auto Parent = Token ? Env_.Contexts_.find(*Token) : nullptr;
+  const RouteSpec *Route = nullptr;
+  Call Partial;
+  if (Parent) {
+    Partial.Request_ = Parent->Request_;
+    Partial.Team_ = Parent->Team_;
+  }
   const auto Refuse = [&](Refusal Reason) {
-    ++Outcomes_[std::string(refusalInfo(Reason).Name_)];
-    Exchange->respond(refusalResponse(Reason, Parent ? Parent->Request_ : RequestId()));
+    recordRefusal(Request, Partial, Route, true, Reason);
+    Exchange->respond(refusalResponse(Reason, Partial.Request_));
   };
   takeKey(Request);
   if (!Parent)
     return Refuse(Refusal::CallContextMissing);
-  const RouteSpec *Route =
-      Env_.Documents_.catalogue().matchRoute(Request.Method_, pathOf(Request.Target_));
+  Route = Env_.Documents_.catalogue().matchRoute(Request.Method_, pathOf(Request.Target_));
   if (Route == nullptr)
     return Refuse(Refusal::RouteUnknown);
   if (Parent->AttemptsLeft_ == 0)
     return Refuse(Refusal::AttemptsExhausted);
-  Call Partial;
-  Partial.Request_ = Parent->Request_;
-  Partial.Team_ = Parent->Team_;
   Partial.KeyId_ = Parent->KeyId_;
   Partial.Standing_ = Parent->Standing_;
   Partial.TimeLeft_ = Parent->Deadline_ - now();
@@ -132,7 +130,7 @@
   const auto Refuse = [&](Refusal Reason) {
     if (Parent)
       Parent->AttemptsLeft_ += Partial.Attempts_;
-    ++Outcomes_[std::string(refusalInfo(Reason).Name_)];
+    recordRefusal(Request, Partial, &Route, Parent != nullptr, Reason);
     Exchange->respond(refusalResponse(Reason, Partial.Request_));
   };
   const ClassSpec *Class = Env_.Documents_.catalogue().findClass(Route.Class_);
@@ -159,7 +157,9 @@
   Partial.Id_ = ++LastCall_;
   Partial.Class_ = Route.Class_;
   Partial.Service_ = Route.Service_;
-  Partial.Fingerprint_ = fingerprintOf(Partial.Team_, Route, Request.Body_);
+  // The whole target counts: requests of a prefix route without a body differ only there.
+  Partial.Fingerprint_ =
+      fingerprintOf(Request.Method_ + " " + Request.Target_, Partial.Team_, Request.Body_);
   Partial.Method_ = std::move(Request.Method_);
   Partial.Target_ = std::move(Request.Target_);
   Partial.Headers_ = std::move(Request.Headers_);
@@ -170,20 +170,30 @@
   Item->start();
 }
 
-HostId Router::chooseHost(const Call &Request, const std::set<HostId> &Excluded) const {
-  std::vector<HostId> Candidates;
-  for (const auto &[Name, List] : Env_.Documents_.catalogue().hostLists()) {
-    if (List.Service_ != Request.Service_)
-      continue;
-    for (const HostSpec &Host : List.Hosts_)
-      if (Env_.Members_.isLive(Host.Id_) && Excluded.count(Host.Id_) == 0)
-        Candidates.push_back(Host.Id_);
+HostId Router::chooseHost(const Call &Request, const std::set<HostId> &Excluded) {
+  return Env_.Hosts_.choose(Request, Excluded);
+}
+
+void Router::record(RequestRecord Record) {
+  ++Outcomes_[Record.Refusal_ ? std::string(refusalInfo(*Record.Refusal_).Name_) : "served"];
+  Env_.Metrics_.ended(Record);
+  Env_.Recent_.add(std::move(Record));
+}
+
+void Router::recordRefusal(const HttpRequest &Request, const Call &Partial, const RouteSpec *Route,
+                           bool Child, Refusal Reason) {
+  RequestRecord Record;
+  Record.Request_ = Partial.Request_;
+  Record.Team_ = Partial.Team_;
+  if (Route != nullptr) {
+    Record.Class_ = Route->Class_;
+    Record.Service_ = Route->Service_;
   }
-  // Resends of an idempotency key go to the same host while the list stays the same.
-  const std::string Key =
-      Request.AtMostOnce_ ? Request.IdempotencyKey_ : std::to_string(Request.Id_);
-  const auto Best = topHosts(Key, Candidates, 1);
-  return Best.empty() ? HostId() : Best.front();
+  Record.Method_ = Request.Method_;
+  Record.Path_ = std::string(pathOf(Request.Target_));
+  Record.Child_ = Child;
+  Record.Refusal_ = Reason;
+  record(std::move(Record));
 }
 
 void Router::finished(CallId Id) { Running_.erase(Id); }
@@ -206,7 +216,10 @@
 }
 
 nlohmann::json Router::dump() const {
-  return {{"running", Running_.size()}, {"outcomes", Outcomes_}, {"draining", Draining_}};
+  return {{"running", Running_.size()},
+          {"outcomes", Outcomes_},
+          {"draining", Draining_},
+          {"hosts", Env_.Hosts_.dump()}};
 }
 
 } // namespace bronzestand::node
