--- a/bench/surge_reference.cpp
+++ b/bench/surge_reference.cpp
@@ -13,8 +13,7 @@
 // Requests of the last moment of the surge are not counted: their retries are served after it.
 constexpr milliseconds RetryTail{500};
 
-Catalogue loadCatalogue(const Deployment &Scaled) {
-  Catalogue Result;
+void loadCatalogue(const Deployment &Scaled, Catalogue &Result) {
   const YAML::Node Documents =
       YAML::LoadFile(std::string(BRONZESTAND_EXAMPLES) + "/" + Scaled.Documents_);
   for (const auto &Entry : Documents) {
@@ -22,7 +21,6 @@
     if (Parsed.Body_)
       Result.put(std::move(*Parsed.Body_));
   }
-  return Result;
 }
 
 /// Slots of all hosts of each service, that is slot seconds a second.
@@ -80,7 +78,8 @@
 SurgeReference::SurgeReference(const Deployment &Scaled, const std::vector<TraceRequest> &Trace,
                                const TraceShape &Shape, const std::map<std::string, double> &Slower)
     : Trace_(Trace), Shape_(Shape) {
-  const Catalogue Documents = loadCatalogue(Scaled);
+  Catalogue Documents;
+  loadCatalogue(Scaled, Documents);
   std::map<std::string, std::map<std::string, double>> ByClassAndTeam;
   for (const TraceRequest &Request : Trace) {
     if (!isCounted(Request))
--- a/include/bronzestand/config_spread.h
+++ b/include/bronzestand/config_spread.h
@@ -154,6 +154,8 @@
   bool ready() const { return Ready_; }
   /// Tells whether this node holds a watch on the platform.
   bool isReader() const { return IsReader_; }
+  /// Every change of the platform up to this revision is held.
+  Revision covered() const { return Covered_; }
   const DocumentStore &store() const { return Store_; }
   const std::vector<HostId> &neighbours() const { return Neighbours_; }
   ConfigSpreadDump dump() const;
@@ -197,6 +199,7 @@
   void confirm(const HostId &From, bool PeerReady, bool PeerReader, ConfigEffects &Out);
   void open(ConfigEffects &Out);
 
+  std::vector<HostId> contacts() const;
   void rebuildOverlay();
   void rebuildRemoteReaders();
   void noteStamps(TimePoint Now, const std::vector<PlatformStamp> &Stamps);
@@ -229,6 +232,7 @@
 
   std::map<std::string, PendingPull> Pulls_;
   TimePoint NextDigest_;
+  std::set<HostId> NewContacts_; ///< not compared with yet
 
   std::map<HostId, StampRecord> Stamps_;
   std::uint64_t StampSequence_ = 0;
--- a/src/node/host_choice.cpp
+++ b/src/node/host_choice.cpp
@@ -7,9 +7,15 @@
 
 namespace bronzestand::node {
 
-HostChoice::HostChoice(const Settings &Config, ConfigPart &Documents, Incarnation Run)
-    : Config_(Config), Documents_(Documents), Log_(makeLogger("host_choice")), Balancer_(Run) {
+HostChoice::HostChoice(const Settings &Config, ConfigPart &Documents, MembershipPart &Members,
+                       Incarnation Run)
+    : Config_(Config), Documents_(Documents), Members_(Members), Log_(makeLogger("host_choice")),
+      Balancer_(Run) {
   Documents.addChangeCallback([this](const std::string &Path) { onDocument(Path); });
+  Members.addStateCallback([this](const HostId &Host) {
+    if (const HostSpec *Spec = Documents_.catalogue().findHost(Host))
+      markChanged(Spec->Service_);
+  });
 }
 
 void HostChoice::onDocument(const std::string &Path) {
@@ -44,7 +50,7 @@
 
 bool HostChoice::isAvailable(const HostSpec &Host) const {
   const auto Found = Observed_.find(Host.Id_);
-  return !Host.Leaving_ && (Found == Observed_.end() || !Found->second.Leaving_);
+  return Members_.isLive(Host.Id_) && (Found == Observed_.end() || !Found->second.Leaving_);
 }
 
 void HostChoice::rebuild(const ServiceId &Service) {
--- a/src/node/host_choice.h
+++ b/src/node/host_choice.h
@@ -8,6 +8,7 @@
 
 #include "bronzestand/balancer.h"
 #include "node/config_part.h"
+#include "node/membership_part.h"
 #include "node/settings.h"
 
 namespace bronzestand::node {
@@ -16,7 +17,8 @@
 /// node observes of its own calls (design section 9).
 class HostChoice {
 public:
-  HostChoice(const Settings &Config, ConfigPart &Documents, Incarnation Run);
+  HostChoice(const Settings &Config, ConfigPart &Documents, MembershipPart &Members,
+             Incarnation Run);
 
   /// Returns the host for a call; empty if no host may be used.
   /// \param Excluded hosts that this call has already tried.
@@ -49,6 +51,7 @@
 
   const Settings &Config_;
   const ConfigPart &Documents_;
+  const MembershipPart &Members_;
   Logger Log_;
   Balancer Balancer_;
   /// Services that this node has called: whether the balancer has their present candidates. The
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -15,6 +15,7 @@
 #include "node/http_server.h"
 #include "node/limits_part.h"
 #include "node/link_part.h"
+#include "node/membership_part.h"
 #include "node/metrics.h"
 #include "node/peer_links.h"
 #include "node/platform_reader.h"
@@ -42,21 +43,24 @@
 public:
   Impl(boost::asio::io_context &Io, Settings Config)
       : Io_(Io), Config_(std::move(Config)), Run_(wallMicroseconds()), Log_(makeLogger("node")),
-        Timer_(Io), Links_(Io, Config_, Run_), Reader_(Io, Config_), Documents_(Reader_),
+        Timer_(Io), Links_(Io, Config_, Run_), Reader_(Io, Config_),
+        Documents_(Reader_, Links_, Config_, Run_), Members_(Links_, Documents_, Config_, Run_),
         Metrics_(Documents_), Recent_(Config_.Host_), Guard_(Io, Config_, Documents_, Links_),
         Admission_(Config_), Attempts_(Config_),
         Executor_(Io, Config_, Documents_, Contexts_, Guard_, Metrics_, Admission_, Attempts_),
-        Hosts_(Config_, Documents_, Run_), LinkBudget_(Config_, Documents_, Links_),
+        Hosts_(Config_, Documents_, Members_, Run_), LinkBudget_(Config_, Documents_, Links_),
         Limits_(Io, Config_, Documents_, Links_, Run_),
-        Router_({Io, Config_, Documents_, Contexts_, Links_, Executor_, Limits_, Hosts_,
+        Router_({Io, Config_, Documents_, Contexts_, Links_, Executor_, Limits_, Members_, Hosts_,
                  LinkBudget_, Metrics_, Recent_, Admission_, Attempts_},
                 Run_),
         CallerServer_(Io, Config_.CallerListen_, {},
                       [this](HttpRequest Request, const HttpExchangePtr &Exchange) {
+                        Members_.checkPause(now());
                         Router_.handleCaller(std::move(Request), Exchange);
                       }),
         EgressServer_(Io, Config_.EgressListen_, {},
                       [this](HttpRequest Request, const HttpExchangePtr &Exchange) {
+                        Members_.checkPause(now());
                         Router_.handleEgress(std::move(Request), Exchange);
                       }),
         OperatorServer_(Io, Config_.OperatorListen_, {},
@@ -66,6 +70,7 @@
 
   absl::Status start() {
     Links_.setResolver([this](const HostId &Host) { return addressOf(Host); });
+    Members_.setPauseCallback([this](TimePoint Now) { Supervisor_.pause(Now); });
     Documents_.addChangeCallback([this](const std::string &Path) { Limits_.onChange(Path); });
     Documents_.addChangeCallback([this](const std::string &Path) {
       if (boost::starts_with(Path, "teams/"))
@@ -94,6 +99,7 @@
     Draining_ = true;
     DrainEnd_ = now() + Config_.DrainLimit_;
     Log_->info("shut down, {} requests run", Router_.running());
+    Members_.leave();
     CallerServer_.drain();
     Router_.drain();
     Executor_.drain();
@@ -101,8 +107,8 @@
 
 private:
   std::vector<Part *> children() {
-    return {&Links_,   &Reader_, &Documents_, &LinkBudget_, &Guard_,
-            &Metrics_, &Limits_, &Admission_, &Executor_,   &Router_};
+    return {&Members_, &Links_,  &Reader_,    &Documents_, &LinkBudget_, &Guard_,
+            &Metrics_, &Limits_, &Admission_, &Executor_,  &Router_};
   }
 
   std::optional<Endpoint> addressOf(const HostId &Host) const {
@@ -192,6 +198,7 @@
   PeerLinks Links_;
   PlatformReader Reader_;
   ConfigPart Documents_;
+  MembershipPart Members_;
   Metrics Metrics_;
   RecentRequests Recent_;
   CrashGuard Guard_;
--- a/src/node/router.cpp
+++ b/src/node/router.cpp
@@ -42,6 +42,8 @@
   });
   Env_.Links_.setHandler(MessageKind::Answer, [this](const Peer &From, const nlohmann::json &Body) {
     const auto Result = Body.get<Answer>();
+    if (Result.Leaving_)
+      Env_.Members_.noteLeaving(From);
     Env_.Hosts_.observe(From.Host_, From.Incarnation_, Result.Leaving_);
     onAnswer(From.Host_, Result);
   });
--- a/src/node/router.h
+++ b/src/node/router.h
@@ -37,6 +37,7 @@
     PeerLinks &Links_;
     Executor &Executor_;
     LimitsPart &Limits_;
+    MembershipPart &Members_;
     HostChoice &Hosts_;
     LinkPart &LinkBudget_;
     Metrics &Metrics_;
--- a/tests/integration/fleet.cpp
+++ b/tests/integration/fleet.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <atomic>
 #include <fstream>
+#include <set>
 #include <thread>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -21,17 +22,21 @@
 
 constexpr std::chrono::milliseconds StartLimit{10'000};
 
-/// Takes free ports of an address from the kernel. All are held until the last is taken, because
-/// the kernel may give a port that was let go again: a node then fails with listen_failed.
+/// Takes free ports of an address from the kernel, never the same one twice. All are held until
+/// the last is taken: the kernel may give a port again before the process that it is meant for has
+/// bound it, and a node then fails with listen_failed.
 void takePorts(const std::string &Address, const std::vector<Endpoint *> &Endpoints) {
+  static std::set<std::string> Taken;
   boost::asio::io_context Io;
   std::vector<boost::asio::ip::tcp::acceptor> Acceptors;
   Acceptors.reserve(Endpoints.size());
   for (Endpoint *Item : Endpoints) {
-    Acceptors.emplace_back(
-        Io, boost::asio::ip::tcp::endpoint(boost::asio::ip::make_address(Address), 0),
-        /*reuse_addr=*/true);
-    *Item = {Address, Acceptors.back().local_endpoint().port()};
+    do {
+      Acceptors.emplace_back(
+          Io, boost::asio::ip::tcp::endpoint(boost::asio::ip::make_address(Address), 0),
+          /*reuse_addr=*/true);
+      *Item = {Address, Acceptors.back().local_endpoint().port()};
+    } while (!Taken.insert(Item->str()).second);
   }
 }
 
@@ -95,7 +100,7 @@
   char Name[] = "/tmp/bronzestand-fleet-XXXXXX";
   Directory_ = ::mkdtemp(Name);
   const std::string Shared = nextAddress();
-  takePorts(Shared, {&PlatformAddress_, &ProxyControl_});
+  takePorts(Shared, {&PlatformAddress_, &ProxyControl_, &ClosedAddress_});
   std::vector<std::string> ProxyArguments{"--control", ProxyControl_.str()};
   for (const HostOptions &Host : Hosts_) {
     const std::string Address = nextAddress();
@@ -147,7 +152,8 @@
                      "peers:\n{}",
                      Host.Id_, Host.DataCentre_, Host.Region_, Host.Service_, Own.Caller_.str(),
                      Own.Egress_.str(), Own.Peer_.str(), Own.Operator_.str(), Own.Backend_.str(),
-                     PlatformAddress_.str(), Disabled_, Peers);
+                     (Host.ReachesPlatform_ ? PlatformAddress_ : ClosedAddress_).str(), Disabled_,
+                     Peers);
 }
 
 void Fleet::startNode(const std::string &Host) {
