Claim idempotency keys before at-most-once calls are dispatched

Cause: the claims engine was not bound, so a resend of an at-most-once request ran again. Change: the claims part runs the witness and the claimant, forwards redirects to the owner and replays stored answers; the claim is checked once more immediately before the write to the backend server. Keys derived for child calls inherit the time of their UUIDv7 parent. Long handover replies are split and counted only when whole. A response whose length is not known is no longer taken as whole. Call ids start at the incarnation, so that a late answer never matches a call of a later run. Shorter claim times can be set for tests.

--- a/src/engine/claims.cpp
+++ b/src/engine/claims.cpp
@@ -13,10 +13,11 @@
 
 namespace {
 
-/// Time of a UUIDv7 in its 36-character form; 0 for any other key.
+/// Time of a UUIDv7 in its 36-character form; 0 for any other key. A key that a node derived for a
+/// child call, "<uuid>/1", has the time of its parent, which is earlier than its first claim.
 std::int64_t uuidV7Time(const std::string &Key) {
-  if (Key.size() != 36 || Key[8] != '-' || Key[13] != '-' || Key[14] != '7' || Key[18] != '-' ||
-      Key[23] != '-')
+  if (Key.size() < 36 || (Key.size() > 36 && Key[36] != '/') || Key[8] != '-' || Key[13] != '-' ||
+      Key[14] != '7' || Key[18] != '-' || Key[23] != '-')
     return 0;
   std::int64_t Time = 0;
   for (std::size_t At = 0; At < 13; ++At) {
--- /dev/null
+++ b/src/node/claims_part.h
@@ -0,0 +1,112 @@
+#ifndef BRONZESTAND_NODE_CLAIMS_PART_H
+#define BRONZESTAND_NODE_CLAIMS_PART_H
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <tuple>
+#include <unordered_map>
+
+#include "bronzestand/claims.h"
+#include "node/config_part.h"
+#include "node/part.h"
+#include "node/peer_links.h"
+
+namespace bronzestand::node {
+
+/// Binds the witness and the claimant of at-most-once calls to the node (design section 8).
+class ClaimsPart final : public Part {
+public:
+  /// Told once: with no answer if the call is to be dispatched, else with its answer.
+  using Decided = std::function<void(ClaimId Id, std::optional<Answer> Given)>;
+  using Reply = std::function<void(Answer Result)>;
+  /// Takes a call that another executor has redirected to this one.
+  using RedirectHandler =
+      std::function<void(const HostId &From, Call Request, Incarnation Owner, Reply Done)>;
+
+  ClaimsPart(const Settings &Config, ConfigPart &Documents, PeerLinks &Links, Incarnation Run);
+
+  /// Tells whether a call needs a claim before it is dispatched.
+  bool covers(const Call &Request) const;
+  /// Claims the key of a call. Redirects, waits for a first run and replays its answer.
+  /// \param Redirected incarnation in the redirect that brought the call here, if any.
+  /// \param Done may be called before this returns.
+  void begin(const Call &Request, std::optional<Incarnation> Redirected, Decided Done);
+  /// To be asked immediately before the request is written to the backend server.
+  bool stillValid(ClaimId Id);
+  /// Reports the end of a dispatched call.
+  void finished(ClaimId Id, const Answer &Result);
+  void setRedirectHandler(RedirectHandler Handler) { OnRedirected_ = std::move(Handler); }
+
+  /// Stops voting before a shutdown; entries are still handed over on request.
+  void leave() { Witness_.leaving(); }
+  /// Tells whether no successor is taking entries after a list change.
+  bool isHandedOver(TimePoint Now) const;
+
+  std::string_view name() const override { return "claims"; }
+  absl::Status start() override;
+  void stop() override {}
+  void tick(TimePoint Now) override;
+  nlohmann::json dump() const override;
+
+private:
+  struct Waiting {
+    Decided Done_;
+    Call Call_; ///< kept for a redirect
+  };
+  struct Redirect {
+    Decided Done_;
+    ClaimId Claim_ = 0;
+    CallId Call_ = 0; ///< id of the call that was redirected
+    HostId Host_;
+    LinkId Link_ = 0;
+    TimePoint Deadline_;
+  };
+  /// Parts of a HandoverReply that have arrived.
+  struct Assembly {
+    std::uint64_t Number_ = 0;
+    std::size_t Next_ = 0;
+    HandoverReply Reply_;
+  };
+  using SlotOfPeer = std::tuple<HostId, std::uint32_t, bool>;
+
+  void updateHosts(TimePoint Now);
+  void wakeIfPaused(TimePoint Now);
+  void onMessage(const Peer &From, const nlohmann::json &Body);
+  void deliver(const HostId &From, const ClaimMessage &Message);
+  void send(const std::vector<ClaimSend> &Sends);
+  void sendOne(const ClaimSend &Item);
+  void sendReply(const HostId &To, const HandoverReply &Reply);
+  void assemble(const HostId &From, HandoverReply Reply, const nlohmann::json &Body);
+  bool isRepeated(const HostId &From, const HandoverRequest &Request, TimePoint Now);
+  void apply(const ClaimEffects &Effects);
+  void decide(const ClaimDecided &Item);
+  void redirect(ClaimId Id, Waiting Item, const ClaimRedirect &Target);
+  void onRedirected(const Peer &From, const nlohmann::json &Body);
+  void endRedirect(CallId Number, Answer Result);
+  template <typename Predicate> void endRedirects(Predicate Matches, Refusal Reason);
+
+  const Settings &Config_;
+  ConfigPart &Documents_;
+  PeerLinks &Links_;
+  Logger Log_;
+  Witness Witness_;
+  Claimant Claimant_;
+  RedirectHandler OnRedirected_;
+  std::unordered_map<ClaimId, Waiting> Waiting_;
+  std::map<CallId, Redirect> Redirects_;
+  std::map<SlotOfPeer, Assembly> Assemblies_;
+  std::map<SlotOfPeer, TimePoint> LargeReplies_;
+  CallId LastRedirect_;
+  std::uint64_t LastReply_ = 0;
+  Revision List_ = 0;
+  bool ListChanged_ = true;
+  TimePoint LastTick_;
+  TimePoint FirstList_;
+  TimePoint LastListChange_;
+  TimePoint LastHandover_;
+};
+
+} // namespace bronzestand::node
+
+#endif
--- a/src/node/config_part.h
+++ b/src/node/config_part.h
@@ -25,6 +25,8 @@
   const KeyTable &keys() const { return Keys_; }
   /// The highest revision in force.
   Revision revision() const { return Revision_; }
+  /// Revisions in force by path; a removed document keeps the revision of its removal.
+  const std::map<std::string, Revision> &inForce() const { return InForce_; }
   bool isReady() const { return Revision_ != 0; }
   void addChangeCallback(ChangeCallback Callback) { OnChange_.push_back(std::move(Callback)); }
 
--- a/src/node/executor.cpp
+++ b/src/node/executor.cpp
@@ -6,6 +6,8 @@
 namespace {
 
 constexpr std::size_t MaxBackendConnections = 100;
+/// A claimed call is read for this long after its deadline, because a late answer serves resends.
+constexpr Duration LateAnswerLimit = std::chrono::seconds(10);
 
 std::string toMilliseconds(Duration Time) {
   return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(Time).count());
@@ -14,28 +16,57 @@
 } // namespace
 
 Executor::Executor(boost::asio::io_context &Io, const Settings &Config, const ConfigPart &Documents,
-                   CallContexts &Contexts)
-    : Config_(Config), Documents_(Documents), Contexts_(Contexts), Log_(makeLogger("executor")),
-      Backend_(Io, Config.BackendServer_, MaxBackendConnections) {}
+                   CallContexts &Contexts, ClaimsPart &Claims)
+    : Config_(Config), Documents_(Documents), Contexts_(Contexts), Claims_(Claims),
+      Log_(makeLogger("executor")), Backend_(Io, Config.BackendServer_, MaxBackendConnections) {}
 
-void Executor::submit(const HostId &Caller, Call Request, Reply Done) {
+absl::Status Executor::start() {
+  Claims_.setRedirectHandler(
+      [this](const HostId &From, Call Request, Incarnation Owner, ClaimsPart::Reply Done) {
+        submit(From, std::move(Request), std::move(Done), Owner);
+      });
+  return absl::OkStatus();
+}
+
+void Executor::submit(const HostId &Caller, Call Request, Reply Done,
+                      std::optional<Incarnation> Redirected) {
   const CallKey Key(Caller, Request.Id_);
   if (Running_.count(Key) != 0)
     return; // a doubled message; the first one is answered
   RunningCall &Item = Running_[Key];
   Item.Call_ = std::move(Request);
   Item.Done_ = std::move(Done);
+  Item.Redirected_ = Redirected;
   const Call &Current = Item.Call_;
-  if (Draining_)
+  // A redirected call may ask for the answer of a first run here, also while this node drains.
+  if (Draining_ && !Redirected)
     finish(Key, Answer::refused(Current.Id_, Refusal::ShuttingDown));
   else if (Current.TimeLeft_ <= Duration::zero())
     finish(Key, Answer::refused(Current.Id_, Refusal::DeadlineTooShort));
   else if (!Current.Team_.empty() && !Documents_.keys().isValid(Current.Team_, Current.KeyId_))
     finish(Key, Answer::refused(Current.Id_, Refusal::KeyUnknown));
+  else if (Claims_.covers(Current))
+    claim(Key);
   else
     dispatch(Key);
 }
 
+void Executor::claim(const CallKey &Key) {
+  RunningCall &Item = Running_.at(Key);
+  Claims_.begin(Item.Call_, Item.Redirected_, [this, Key](ClaimId Id, std::optional<Answer> Given) {
+    const auto Found = Running_.find(Key);
+    if (Given) {
+      finish(Key, *std::move(Given));
+    } else if (Found == Running_.end()) {
+      // Cancelled meanwhile; the refusal also answers resends that wait for this run.
+      Claims_.finished(Id, Answer::refused(Key.second, Refusal::ClaimUnavailable));
+    } else {
+      Found->second.Claim_ = Id;
+      dispatch(Key);
+    }
+  });
+}
+
 void Executor::dispatch(const CallKey &Key) {
   RunningCall &Item = Running_.at(Key);
   const Call &Current = Item.Call_;
@@ -66,10 +97,15 @@
   Set("Bronzestand-Class", Current.Class_.str());
   Set("Bronzestand-Deadline-Ms", toMilliseconds(Current.TimeLeft_));
   Set("Idempotency-Key", Current.IdempotencyKey_);
-  Item.Request_ = Backend_.send(std::move(Request), Current.TimeLeft_,
-                                [this, Key](HttpResult Result, HttpResponse Response) {
-                                  onBackendResult(Key, Result, std::move(Response));
-                                });
+  const ClaimId Claim = Item.Claim_;
+  const Duration Limit = Claim == 0 ? Current.TimeLeft_ : Current.TimeLeft_ + LateAnswerLimit;
+  // The claim is checked again at the write, because a connection may take time to open.
+  Item.Request_ = Backend_.send(
+      std::move(Request), Limit,
+      [this, Key](HttpResult Result, HttpResponse Response) {
+        onBackendResult(Key, Result, std::move(Response));
+      },
+      Claim == 0 ? HttpClient::MayWrite() : [this, Claim] { return Claims_.stillValid(Claim); });
 }
 
 void Executor::onBackendResult(const CallKey &Key, HttpResult Result, HttpResponse Response) {
@@ -116,12 +152,18 @@
   ++(Result.Outcome_ == Outcome::Served   ? Served_
      : Result.Outcome_ == Outcome::NotRun ? Refused_
                                           : Unknown_);
+  if (Item.Claim_ != 0)
+    Claims_.finished(Item.Claim_, Result);
   Item.Done_(std::move(Result));
 }
 
 void Executor::cancel(const HostId &Caller, CallId Id) {
   const auto Found = Running_.find({Caller, Id});
-  if (Found != Running_.end())
+  if (Found == Running_.end() || Found->second.Claim_ != 0)
+    return; // a claimed call runs to its end, because its answer serves resends
+  if (Found->second.Token_.empty())
+    finish(Found->first, Answer::refused(Id, Refusal::Cancelled));
+  else
     Backend_.cancel(Found->second.Request_);
 }
 
--- a/src/node/executor.h
+++ b/src/node/executor.h
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "node/call_contexts.h"
+#include "node/claims_part.h"
 #include "node/config_part.h"
 #include "node/http_client.h"
 #include "node/part.h"
@@ -18,11 +19,13 @@
   using Reply = std::function<void(Answer Result)>;
 
   Executor(boost::asio::io_context &Io, const Settings &Config, const ConfigPart &Documents,
-           CallContexts &Contexts);
+           CallContexts &Contexts, ClaimsPart &Claims);
 
   /// Takes a call. Reply is called once, unless the call is cancelled before.
   /// \param Caller node that sent the call; with the call's id it names the call.
-  void submit(const HostId &Caller, Call Request, Reply Done);
+  /// \param Redirected incarnation in the redirect of another executor that brought the call here.
+  void submit(const HostId &Caller, Call Request, Reply Done,
+              std::optional<Incarnation> Redirected = std::nullopt);
   /// Cancels a call whose answer nobody waits for.
   void cancel(const HostId &Caller, CallId Id);
   /// Refuses new calls from now on.
@@ -30,7 +33,7 @@
   std::size_t running() const { return Running_.size(); }
 
   std::string_view name() const override { return "executor"; }
-  absl::Status start() override { return absl::OkStatus(); }
+  absl::Status start() override;
   void stop() override {}
   nlohmann::json dump() const override;
 
@@ -41,8 +44,11 @@
     Reply Done_;
     std::string Token_;
     HttpClient::RequestNumber Request_ = 0;
+    std::optional<Incarnation> Redirected_;
+    ClaimId Claim_ = 0; ///< claim by which the call may be dispatched; 0 without one
   };
 
+  void claim(const CallKey &Key);
   void dispatch(const CallKey &Key);
   void onBackendResult(const CallKey &Key, HttpResult Result, HttpResponse Response);
   void finish(const CallKey &Key, Answer Result);
@@ -50,6 +56,7 @@
   const Settings &Config_;
   const ConfigPart &Documents_;
   CallContexts &Contexts_;
+  ClaimsPart &Claims_;
   Logger Log_;
   HttpClient Backend_;
   std::map<CallKey, RunningCall> Running_;
--- a/src/node/http_client.cpp
+++ b/src/node/http_client.cpp
@@ -32,7 +32,8 @@
   Connection(asio::io_context &Io, std::function<void(Connection &, bool Reusable)> OnFree)
       : Stream_(Io), OnFree_(std::move(OnFree)) {}
 
-  void run(const Endpoint &Server, HttpRequest &&Request, Duration Timeout, HttpCallback Callback);
+  void run(const Endpoint &Server, HttpRequest &&Request, Duration Timeout, HttpCallback Callback,
+           HttpClient::MayWrite Check);
   void cancel() { finish(HttpResult::Cancelled); }
   /// Tells whether the server has closed or written to an idle connection.
   bool isStale();
@@ -52,13 +53,15 @@
   std::optional<http::request<http::string_body>> Request_;
   std::optional<http::response_parser<http::string_body>> Parser_;
   HttpCallback Callback_;
+  HttpClient::MayWrite MayWrite_;
   bool Connected_ = false;
   bool Sent_ = false;
 };
 
 void Connection::run(const Endpoint &Server, HttpRequest &&Request, Duration Timeout,
-                     HttpCallback Callback) {
+                     HttpCallback Callback, HttpClient::MayWrite Check) {
   Callback_ = std::move(Callback);
+  MayWrite_ = std::move(Check);
   Sent_ = false;
   Request_.emplace();
   Request_->version(11);
@@ -103,6 +106,10 @@
 void Connection::write() {
   if (!Callback_)
     return;
+  if (MayWrite_ && !MayWrite_()) {
+    finish(HttpResult::NotSent);
+    return;
+  }
   Sent_ = true;
   http::async_write(Stream_, *Request_, [Self = Ptr(this)](error_code Failure, std::size_t) {
     if (Failure)
@@ -119,6 +126,8 @@
   http::async_read(Stream_, Buffer_, *Parser_, [Self = Ptr(this)](error_code Failure, std::size_t) {
     if (Failure)
       Self->onFailure(Failure);
+    else if (Self->Parser_->get().need_eof())
+      Self->finish(HttpResult::Lost); // only a length tells a whole body from a truncated one
     else
       Self->finish(HttpResult::Answered);
   });
@@ -133,6 +142,7 @@
     return;
   const Ptr Keep(this);
   const HttpCallback Callback = std::exchange(Callback_, nullptr);
+  MayWrite_ = nullptr;
   if (Result == HttpResult::Cancelled && !Sent_)
     Result = HttpResult::NotSent;
   HttpResponse Response;
@@ -166,7 +176,7 @@
       Item->forget();
   }
 
-  RequestNumber send(HttpRequest Request, Duration Timeout, HttpCallback Callback) {
+  RequestNumber send(HttpRequest Request, Duration Timeout, HttpCallback Callback, MayWrite Check) {
     const RequestNumber Number = ++LastNumber_;
     const auto Item = takeConnection();
     if (!Item) {
@@ -174,13 +184,15 @@
       return Number;
     }
     Running_.emplace(Number, Item);
-    Item->run(Server_, std::move(Request), Timeout,
-              [Self = weak_from_this(), Number,
-               Callback = std::move(Callback)](HttpResult Result, HttpResponse Response) {
-                if (const auto Alive = Self.lock())
-                  Alive->Running_.erase(Number);
-                Callback(Result, std::move(Response));
-              });
+    Item->run(
+        Server_, std::move(Request), Timeout,
+        [Self = weak_from_this(), Number, Callback = std::move(Callback)](HttpResult Result,
+                                                                          HttpResponse Response) {
+          if (const auto Alive = Self.lock())
+            Alive->Running_.erase(Number);
+          Callback(Result, std::move(Response));
+        },
+        std::move(Check));
     return Number;
   }
 
@@ -226,8 +238,8 @@
     : Impl_(std::make_shared<Impl>(Io, std::move(Server), MaxConnections)) {}
 HttpClient::~HttpClient() = default;
 HttpClient::RequestNumber HttpClient::send(HttpRequest Request, Duration Timeout,
-                                           HttpCallback Callback) {
-  return Impl_->send(std::move(Request), Timeout, std::move(Callback));
+                                           HttpCallback Callback, MayWrite Check) {
+  return Impl_->send(std::move(Request), Timeout, std::move(Callback), std::move(Check));
 }
 void HttpClient::cancel(RequestNumber Number) { Impl_->cancel(Number); }
 std::size_t HttpClient::connections() const { return Impl_->connections(); }
--- a/src/node/http_client.h
+++ b/src/node/http_client.h
@@ -34,8 +34,12 @@
 
   using RequestNumber = std::uint64_t;
 
+  /// Asked immediately before the first byte is written; if false, the request ends as NotSent.
+  using MayWrite = std::function<bool()>;
+
   /// Sends a request and returns a number for cancel().
-  RequestNumber send(HttpRequest Request, Duration Timeout, HttpCallback Callback);
+  RequestNumber send(HttpRequest Request, Duration Timeout, HttpCallback Callback,
+                     MayWrite Check = {});
   /// Closes the connection of a running request, which tells the server that nobody waits.
   void cancel(RequestNumber Number);
   std::size_t connections() const;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -3,6 +3,7 @@
 #include <functional>
 
 #include "node/call_contexts.h"
+#include "node/claims_part.h"
 #include "node/clock.h"
 #include "node/config_part.h"
 #include "node/executor.h"
@@ -33,7 +34,8 @@
   Impl(boost::asio::io_context &Io, Settings Config)
       : Io_(Io), Config_(std::move(Config)), Run_(wallMicroseconds()), Log_(makeLogger("node")),
         Timer_(Io), Links_(Io, Config_, Run_), Reader_(Io, Config_), Documents_(Reader_),
-        Executor_(Io, Config_, Documents_, Contexts_),
+        Claims_(Config_, Documents_, Links_, Run_),
+        Executor_(Io, Config_, Documents_, Contexts_, Claims_),
         Router_({Io, Config_, Documents_, Contexts_, Links_, Executor_}, Run_),
         CallerServer_(Io, Config_.CallerListen_, {},
                       [this](HttpRequest Request, const HttpExchangePtr &Exchange) {
@@ -79,7 +81,7 @@
   }
 
 private:
-  std::vector<Part *> children() { return {&Links_, &Reader_, &Documents_, &Executor_, &Router_}; }
+  std::vector<Part *> children() { return {&Links_, &Reader_, &Documents_, &Claims_, &Executor_, &Router_}; }
 
   std::optional<Endpoint> addressOf(const HostId &Host) const {
     const HostSpec *Spec = Documents_.catalogue().findHost(Host);
@@ -150,6 +152,7 @@
   PeerLinks Links_;
   PlatformReader Reader_;
   ConfigPart Documents_;
+  ClaimsPart Claims_;
   Executor Executor_;
   Router Router_;
   HttpServer CallerServer_;
--- a/src/node/router.cpp
+++ b/src/node/router.cpp
@@ -38,7 +38,9 @@
 } // namespace
 
 Router::Router(const Parts &Environment, Incarnation Run)
-    : Env_(Environment), Run_(Run), Log_(makeLogger("router")) {}
+    : Env_(Environment), Run_(Run), Log_(makeLogger("router")),
+      // Ids start at the incarnation, so that no late answer matches a call of a later run.
+      LastCall_(Run) {}
 Router::~Router() = default;
 
 absl::Status Router::start() {
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -60,6 +60,21 @@
   return Result;
 }
 
+ClaimSettings readClaims(YamlReader Reader) {
+  ClaimSettings Claims;
+  const auto ReadMs = [&](const char *Field, Duration &Value) {
+    const auto Default = std::chrono::duration_cast<std::chrono::milliseconds>(Value).count();
+    Value = std::chrono::milliseconds(Reader.integer(Field, 0, 3'600'000, false, Default));
+  };
+  ReadMs("lifetime_ms", Claims.Lifetime_);
+  ReadMs("grace_ms", Claims.Grace_);
+  ReadMs("skew_ms", Claims.Skew_);
+  ReadMs("dispatch_window_ms", Claims.DispatchWindow_);
+  ReadMs("probe_every_ms", Claims.ProbeEvery_);
+  Reader.finish();
+  return Claims;
+}
+
 LogSettings readLog(YamlReader Reader) {
   LogSettings Log;
   const std::string Format = Reader.text("format", false, "text");
@@ -118,6 +133,7 @@
   Out.DrainLimit_ =
       std::chrono::milliseconds(Reader.integer("drain_limit_ms", 0, 3'600'000, false, 30'000));
   Out.Log_ = readLog(Reader.map("log", false));
+  Out.Claims_ = readClaims(Reader.map("claims", false));
   Out.Disabled_ = readDisabled(Reader);
   Reader.finish();
   return Result;
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "absl/status/statusor.h"
+#include "bronzestand/claims.h"
 #include "bronzestand/error.h"
 #include "bronzestand/types.h"
 #include "node/log.h"
@@ -53,6 +54,7 @@
   std::string PeerSecret_;
   Duration DrainLimit_ = std::chrono::seconds(30);
   LogSettings Log_;
+  ClaimSettings Claims_;         ///< shorter times are for tests only
   std::set<Mechanism> Disabled_; ///< for measurements only
 
   bool isEnabled(Mechanism Value) const { return Disabled_.count(Value) == 0; }
--- a/tests/integration/fleet.cpp
+++ b/tests/integration/fleet.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <atomic>
 #include <fstream>
+#include <random>
 #include <thread>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -11,6 +12,7 @@
 #include <unistd.h>
 
 #include "bronzestand/key_table.h"
+#include "node/clock.h"
 
 namespace bronzestand::test {
 namespace {
@@ -84,8 +86,16 @@
   return true;
 }
 
-Fleet::Fleet(std::vector<HostOptions> Hosts, PeerPath Path, std::string Disabled)
-    : Hosts_(std::move(Hosts)), Disabled_(std::move(Disabled)) {
+std::string uuidV7() {
+  static std::mt19937_64 Random(std::random_device{}());
+  const auto Ms = node::wallMicroseconds() / 1000;
+  return fmt::format("{:08x}-{:04x}-7{:03x}-8{:03x}-{:012x}", Ms >> 16U, Ms & 0xffffU,
+                     Random() & 0xfffU, Random() & 0xfffU, Random() & 0xffffffffffffU);
+}
+
+Fleet::Fleet(std::vector<HostOptions> Hosts, PeerPath Path, std::string Disabled,
+             std::string Claims)
+    : Hosts_(std::move(Hosts)), Disabled_(std::move(Disabled)), Claims_(std::move(Claims)) {
   char Name[] = "/tmp/bronzestand-fleet-XXXXXX";
   Directory_ = ::mkdtemp(Name);
   const std::string Shared = nextAddress();
@@ -140,10 +150,11 @@
                      "caller_listen: {}\negress_listen: {}\npeer_listen: {}\n"
                      "operator_listen: {}\nbackend_server: {}\nplatform: [\"{}\"]\n"
                      "peer_secret: integration-test-secret\nlog: {{level: info}}\ndisable: [{}]\n"
+                     "claims: {{{}}}\n"
                      "peers:\n{}",
                      Host.Id_, Host.DataCentre_, Host.Region_, Host.Service_, Own.Caller_.str(),
                      Own.Egress_.str(), Own.Peer_.str(), Own.Operator_.str(), Own.Backend_.str(),
-                     PlatformAddress_.str(), Disabled_, Peers);
+                     PlatformAddress_.str(), Disabled_, Claims_, Peers);
 }
 
 void Fleet::startNode(const std::string &Host) {
@@ -188,6 +199,8 @@
 }
 
 void Fleet::put(const std::string &Path, const std::string &Text) {
+  if (Text.find("at_most_once: true") != std::string::npos)
+    AwaitClaims_ = Disabled_.find("claims") == std::string::npos;
   const HttpReply Reply =
       httpCall(PlatformAddress_, makeRequest("PUT", "/control/value?path=" + Path, Text));
   LastRevision_ = parseBody(Reply).at("revision");
@@ -252,9 +265,11 @@
           if (!Running->isRunning())
             continue;
           const json State = state(Host);
-          if (!State.is_object() || State["config"]["revision"].get<Revision>() < LastRevision_)
+          if (!State.is_object() || State["config"]["revision"].get<Revision>() < LastRevision_ ||
+              (AwaitClaims_ && !State["claims"]["accepts_all_keys"].get<bool>()))
             return false;
         }
+        AwaitClaims_ = false;
         return true;
       },
       Limit);
--- a/tests/integration/fleet.h
+++ b/tests/integration/fleet.h
@@ -48,6 +48,9 @@
 /// Polls a condition; returns whether it came true in time.
 bool waitFor(const std::function<bool()> &Condition, std::chrono::milliseconds Limit);
 
+/// Makes an idempotency key with the present time in it (UUIDv7).
+std::string uuidV7();
+
 /// A fleet of real processes on loopback addresses: platform, fault proxy, nodes, backend servers.
 /// Links between nodes pass the fault proxy.
 class Fleet {
@@ -58,8 +61,11 @@
 
   /// \param Path Direct leaves the fault proxy out of the links; used for measurements.
   /// \param Disabled mechanisms that all nodes switch off, separated by commas.
+  /// \param Claims the claims setting of all nodes; the default accepts every key after 4 s.
   explicit Fleet(std::vector<HostOptions> Hosts, PeerPath Path = PeerPath::ThroughProxy,
-                 std::string Disabled = {});
+                 std::string Disabled = {},
+                 std::string Claims = "lifetime_ms: 1000, dispatch_window_ms: 1000, "
+                                      "grace_ms: 2000, skew_ms: 0, probe_every_ms: 200");
   ~Fleet();
   Fleet(const Fleet &) = delete;
   Fleet &operator=(const Fleet &) = delete;
@@ -79,7 +85,8 @@
   void setPlatformMode(const std::string &Mode);
   nlohmann::json platformStats();
 
-  /// Waits until all running nodes have the newest revision of the platform in force.
+  /// Waits until all running nodes have the newest revision of the platform in force and, the
+  /// first time that a class is at most once, until they accept all idempotency keys.
   bool waitUntilInForce(std::chrono::milliseconds Limit = std::chrono::seconds(10));
 
   void startNode(const std::string &Host);
@@ -120,6 +127,8 @@
   node::Endpoint ProxyControl_;
   std::string Directory_;
   std::string Disabled_;
+  std::string Claims_;
+  bool AwaitClaims_ = false;
   std::unique_ptr<Process> Platform_;
   std::unique_ptr<Process> Proxy_;
   std::map<std::string, std::unique_ptr<Process>> Nodes_;
