Resolve calls whose link was lost, and shut down without cutting requests

Cause: a lost link made every call on it unknown, child calls went on after their caller had gone away, and SIGTERM reset idle and waiting connections and did not tell other nodes. A call that ends without an answer cancels its child calls. Shutdown announces leaving, takes the connections that the kernel has accepted, answers pipelined requests that have arrived, waits for successors that take claims, and closes after two quiet ticks; a second signal or the drain limit ends requests with typed outcomes. A refused try no longer loses the attempt allowance of the call.

--- a/src/node/executor.cpp
+++ b/src/node/executor.cpp
@@ -144,7 +144,10 @@
   Running_.erase(Found);
   const bool Ran = !Item.Token_.empty();
   Result.UnusedAttempts_ = Item.Call_.Attempts_;
-  if (const auto Context = Contexts_.remove(Item.Token_))
+  const auto Context = Contexts_.remove(Item.Token_);
+  if (Context && Result.Outcome_ != Outcome::Served && OnAbandoned_)
+    OnAbandoned_(*Context);
+  if (Context)
     Result.UnusedAttempts_ = Context->AttemptsLeft_;
   else if (Ran)
     Result.UnusedAttempts_ = 0;
@@ -157,6 +160,19 @@
   Item.Done_(std::move(Result));
 }
 
+void Executor::abort() {
+  std::vector<CallKey> Keys;
+  for (const auto &[Key, Item] : Running_)
+    Keys.push_back(Key);
+  for (const CallKey &Key : Keys) {
+    const auto Found = Running_.find(Key);
+    if (Found == Running_.end())
+      continue;
+    const bool Ran = !Found->second.Token_.empty();
+    finish(Key, Answer::refused(Key.second, Ran ? Refusal::ConnectionLost : Refusal::ShuttingDown));
+  }
+}
+
 void Executor::cancel(const HostId &Caller, CallId Id) {
   const auto Found = Running_.find({Caller, Id});
   if (Found == Running_.end() || Found->second.Claim_ != 0)
--- a/src/node/executor.h
+++ b/src/node/executor.h
@@ -28,8 +28,13 @@
               std::optional<Incarnation> Redirected = std::nullopt);
   /// Cancels a call whose answer nobody waits for.
   void cancel(const HostId &Caller, CallId Id);
+  /// Told of a call that ended without an answer, for its child calls that still run.
+  using Abandoned = std::function<void(const CallContext &Parent)>;
+  void setAbandoned(Abandoned Callback) { OnAbandoned_ = std::move(Callback); }
   /// Refuses new calls from now on.
   void drain() { Draining_ = true; }
+  /// Ends all running calls at once with typed outcomes.
+  void abort();
   std::size_t running() const { return Running_.size(); }
 
   std::string_view name() const override { return "executor"; }
@@ -60,6 +65,7 @@
   Logger Log_;
   HttpClient Backend_;
   std::map<CallKey, RunningCall> Running_;
+  Abandoned OnAbandoned_;
   bool Draining_ = false;
   std::uint64_t Served_ = 0;
   std::uint64_t Refused_ = 0;
--- a/src/node/http_client.cpp
+++ b/src/node/http_client.cpp
@@ -126,7 +126,7 @@
   http::async_read(Stream_, Buffer_, *Parser_, [Self = Ptr(this)](error_code Failure, std::size_t) {
     if (Failure)
       Self->onFailure(Failure);
-    else if (Self->Parser_->get().need_eof())
+    else if (Self->Parser_->need_eof())
       Self->finish(HttpResult::Lost); // only a length tells a whole body from a truncated one
     else
       Self->finish(HttpResult::Answered);
--- a/src/node/http_server.cpp
+++ b/src/node/http_server.cpp
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <boost/intrusive/list.hpp>
@@ -28,10 +29,17 @@
 public:
   virtual ~SessionBase() = default;
   virtual void close() = 0;
-  virtual bool isIdle() const = 0;
+  /// Tells whether no request has arrived, not even in part, that is not answered yet.
+  virtual bool isIdle() = 0;
+  virtual bool isNew() const = 0;
+  /// Closes the connection if no request arrives in time.
+  virtual void closeUnlessUsed(std::chrono::milliseconds Limit) = 0;
 };
 using SessionList = intrusive::list<SessionBase, intrusive::constant_time_size<false>>;
 
+/// A connection that was opened before a drain gets this long for its first request.
+constexpr std::chrono::milliseconds FirstRequestLimit{1000};
+
 /// State that the sessions of one server share.
 struct ServerState {
   HttpServerLimits Limits_;
@@ -77,17 +85,22 @@
   Session(tcp::socket Socket, std::shared_ptr<ServerState> State)
       : Stream_(std::move(Socket)), State_(std::move(State)) {}
 
+  void readFirst() { readRequest(); }
   void readNext();
   void respond(std::uint64_t RequestNumber, HttpResponse Response);
   void setCancel(std::uint64_t RequestNumber, std::function<void()> Callback);
   void close() override;
-  bool isIdle() const override { return !Running_; }
+  bool isIdle() override { return !Running_ && !Receiving_ && !hasInput(); }
+  bool isNew() const override { return RequestNumber_ == 0; }
+  void closeUnlessUsed(std::chrono::milliseconds Limit) override;
 
 private:
   friend class Exchange;
   using Parser = http::request_parser<http::string_body>;
 
+  bool hasInput();
   void onRead(const error_code &Failure);
+  void readRequest();
   void refuse(Refusal Reason);
   void handle();
   void watchForClose();
@@ -103,6 +116,7 @@
   std::uint64_t RequestNumber_ = 0;
   bool KeepAlive_ = true;
   bool Running_ = false;
+  bool Receiving_ = false; ///< the header has arrived, the body has not
 };
 using SessionPtr = boost::intrusive_ptr<Session>;
 
@@ -123,11 +137,29 @@
   std::uint64_t Number_;
 };
 
+bool Session::hasInput() {
+  error_code Failure;
+  return Buffer_.size() != 0 || (Stream_.socket().available(Failure) != 0 && !Failure);
+}
+
+void Session::closeUnlessUsed(std::chrono::milliseconds Limit) {
+  const auto Timer = std::make_shared<asio::steady_timer>(Stream_.get_executor(), Limit);
+  Timer->async_wait([Self = SessionPtr(this), Timer](error_code) {
+    if (Self->isIdle())
+      Self->close();
+  });
+}
+
 void Session::readNext() {
-  if (State_->Draining_) {
+  // A pipelined request that has arrived is still answered.
+  if (State_->Draining_ && !hasInput()) {
     close();
     return;
   }
+  readRequest();
+}
+
+void Session::readRequest() {
   Parser_.emplace();
   Parser_->header_limit(State_->Limits_.HeaderBytes_);
   Parser_->body_limit(State_->Limits_.BodyBytes_);
@@ -139,6 +171,7 @@
                               Self->onRead(Failure);
                               return;
                             }
+                            Self->Receiving_ = true;
                             Self->Stream_.expires_after(Self->State_->Limits_.ReadTimeout_);
                             http::async_read(Self->Stream_, Self->Buffer_, *Self->Parser_,
                                              [Self](error_code BodyFailure, std::size_t) {
@@ -148,6 +181,7 @@
 }
 
 void Session::onRead(const error_code &Failure) {
+  Receiving_ = false;
   Stream_.expires_never();
   if (!Failure) {
     handle();
@@ -210,7 +244,7 @@
 void Session::respond(std::uint64_t RequestNumber, HttpResponse Response) {
   if (!Running_ || RequestNumber != RequestNumber_ || Response_)
     return;
-  write(std::move(Response), KeepAlive_ && !State_->Draining_);
+  write(std::move(Response), KeepAlive_ && (!State_->Draining_ || hasInput()));
 }
 
 void Session::write(HttpResponse Response, bool KeepAlive) {
@@ -278,14 +312,18 @@
 
   void drain() {
     State_->Draining_ = true;
+    acceptWaiting();
     error_code Ignored;
     Acceptor_.close(Ignored);
-    closeWhere([](const SessionBase &Item) { return Item.isIdle(); });
+    for (SessionBase &Item : State_->Sessions_)
+      if (Item.isNew())
+        Item.closeUnlessUsed(FirstRequestLimit);
+    closeWhere([](SessionBase &Item) { return !Item.isNew() && Item.isIdle(); });
   }
 
   void stop() {
     drain();
-    closeWhere([](const SessionBase &) { return true; });
+    closeWhere([](SessionBase &) { return true; });
   }
 
   std::size_t connections() const { return State_->Sessions_.size(); }
@@ -301,18 +339,35 @@
       Item->close();
   }
 
+  /// Takes the connections that the kernel has accepted, because closing the listener resets them.
+  void acceptWaiting() {
+    error_code Failure;
+    Acceptor_.non_blocking(true, Failure);
+    while (!Failure && Acceptor_.is_open()) {
+      tcp::socket Socket = Acceptor_.accept(Failure);
+      if (!Failure)
+        add(std::move(Socket));
+    }
+  }
+
+  void add(tcp::socket Socket) {
+    if (connections() >= State_->Limits_.Connections_)
+      return;
+    error_code Ignored;
+    Socket.set_option(tcp::no_delay(true), Ignored);
+    const SessionPtr Item(new Session(std::move(Socket), State_));
+    State_->Sessions_.push_back(*Item);
+    Item->readFirst();
+  }
+
   void accept() {
     Acceptor_.async_accept([this, State = State_](error_code Failure, tcp::socket Socket) {
-      if (Failure == asio::error::operation_aborted || State->Draining_)
+      if (Failure == asio::error::operation_aborted)
         return;
-      if (!Failure && connections() < State->Limits_.Connections_) {
-        error_code Ignored;
-        Socket.set_option(tcp::no_delay(true), Ignored);
-        const SessionPtr Item(new Session(std::move(Socket), State));
-        State->Sessions_.push_back(*Item);
-        Item->readNext();
-      }
-      accept();
+      if (!Failure)
+        add(std::move(Socket));
+      if (!State->Draining_)
+        accept();
     });
   }
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -8,8 +8,10 @@
 #include "node/config_part.h"
 #include "node/executor.h"
 #include "node/http_server.h"
+#include "node/leaving_part.h"
 #include "node/peer_links.h"
 #include "node/platform_reader.h"
+#include "node/remote_calls.h"
 #include "node/router.h"
 #include "node/supervisor.h"
 
@@ -17,6 +19,8 @@
 namespace {
 
 constexpr Duration TickInterval = std::chrono::milliseconds(100);
+/// Time in which answers are written to callers and peers before an immediate stop.
+constexpr Duration AbortTime = std::chrono::milliseconds(200);
 constexpr std::string_view JsonType = "application/json";
 
 HttpResponse textResponse(unsigned Status, std::string_view Type, std::string Body) {
@@ -35,8 +39,9 @@
       : Io_(Io), Config_(std::move(Config)), Run_(wallMicroseconds()), Log_(makeLogger("node")),
         Timer_(Io), Links_(Io, Config_, Run_), Reader_(Io, Config_), Documents_(Reader_),
         Claims_(Config_, Documents_, Links_, Run_),
-        Executor_(Io, Config_, Documents_, Contexts_, Claims_),
-        Router_({Io, Config_, Documents_, Contexts_, Links_, Executor_}, Run_),
+        Executor_(Io, Config_, Documents_, Contexts_, Claims_), Leaving_(Links_),
+        RemoteCalls_(Executor_, Links_, Run_),
+        Router_({Io, Config_, Documents_, Contexts_, Links_, Executor_, Leaving_}, Run_),
         CallerServer_(Io, Config_.CallerListen_, {},
                       [this](HttpRequest Request, const HttpExchangePtr &Exchange) {
                         Router_.handleCaller(std::move(Request), Exchange);
@@ -69,19 +74,24 @@
 
   void shutdown() {
     if (Draining_) {
-      stopAll();
+      abort();
       return;
     }
     Draining_ = true;
     DrainEnd_ = now() + Config_.DrainLimit_;
     Log_->info("shut down, {} requests run", Router_.running());
+    Leaving_.announce();
+    Claims_.leave();
     CallerServer_.drain();
     Router_.drain();
     Executor_.drain();
   }
 
 private:
-  std::vector<Part *> children() { return {&Links_, &Reader_, &Documents_, &Claims_, &Executor_, &Router_}; }
+  std::vector<Part *> children() {
+    return {&Links_,   &Reader_,   &Documents_,   &Claims_,
+            &Leaving_, &Executor_, &RemoteCalls_, &Router_};
+  }
 
   std::optional<Endpoint> addressOf(const HostId &Host) const {
     const HostSpec *Spec = Documents_.catalogue().findHost(Host);
@@ -96,7 +106,13 @@
       if (Failure)
         return;
       Supervisor_.tick(now());
-      if (Draining_ && (isDrained() || now() >= DrainEnd_)) {
+      if (Draining_ && now() >= DrainEnd_) {
+        abort();
+        return;
+      }
+      // Answers to other nodes may still be in a send buffer when the last call ends.
+      DrainedTicks_ = Draining_ && isDrained() ? DrainedTicks_ + 1 : 0;
+      if (DrainedTicks_ >= 2) {
         stopAll();
         return;
       }
@@ -105,8 +121,19 @@
   }
 
   bool isDrained() const {
-    return Router_.running() == 0 && Executor_.running() == 0 &&
-           CallerServer_.runningRequests() == 0;
+    return Router_.running() == 0 && Executor_.running() == 0 && CallerServer_.connections() == 0 &&
+           Claims_.isHandedOver(now());
+  }
+
+  /// Ends running requests with typed outcomes, and stops once the answers are written.
+  void abort() {
+    Router_.abort();
+    Executor_.abort();
+    Timer_.expires_after(AbortTime);
+    Timer_.async_wait([this](const boost::system::error_code &Failure) {
+      if (!Failure)
+        stopAll();
+    });
   }
 
   void stopAll() {
@@ -154,12 +181,15 @@
   ConfigPart Documents_;
   ClaimsPart Claims_;
   Executor Executor_;
+  LeavingPart Leaving_;
+  RemoteCalls RemoteCalls_;
   Router Router_;
   HttpServer CallerServer_;
   HttpServer EgressServer_;
   HttpServer OperatorServer_;
   bool Draining_ = false;
   TimePoint DrainEnd_;
+  unsigned DrainedTicks_ = 0;
 };
 
 Node::Node(boost::asio::io_context &Io, Settings Config)
--- a/src/node/routed_call.cpp
+++ b/src/node/routed_call.cpp
@@ -7,6 +7,11 @@
 namespace {
 
 constexpr std::uint32_t MaxTries = 3;
+/// A query or its reply may be lost with a second link, so it is repeated until the answer is here.
+constexpr std::chrono::milliseconds QueryInterval{1000};
+/// A host that cannot be reached for this many queries in a row leaves the outcome unknown.
+constexpr std::uint32_t MaxLostQueries = 3;
+constexpr std::chrono::milliseconds LostQueryInterval{300};
 
 HttpResponse toResponse(const Answer &Result, const RequestId &Request) {
   if (Result.Outcome_ != Outcome::Served)
@@ -25,7 +30,8 @@
 RoutedCall::RoutedCall(Router &Owner, Call Request, HttpExchangePtr Exchange,
                        std::shared_ptr<CallContext> Parent)
     : Owner_(Owner), Call_(std::move(Request)), Exchange_(std::move(Exchange)),
-      Parent_(std::move(Parent)), Timer_(Owner.Env_.Io_), Deadline_(now() + Call_.TimeLeft_) {}
+      Parent_(std::move(Parent)), Timer_(Owner.Env_.Io_), QueryTimer_(Owner.Env_.Io_),
+      Deadline_(now() + Call_.TimeLeft_) {}
 
 Duration RoutedCall::timeLeft() const { return Deadline_ - now(); }
 
@@ -47,6 +53,8 @@
   }
   ++Try_;
   Link_ = 0;
+  HostRun_ = 0;
+  LostQueries_ = 0;
   Tried_.insert(Host_);
   Call_.TimeLeft_ = timeLeft();
   if (Host_ != Owner_.Env_.Config_.Host_) {
@@ -79,13 +87,52 @@
     retryOrFinish(Result);
 }
 
-void RoutedCall::onLinkDown(const HostId &Host, LinkId Link) {
-  if (!Done_ && Host == Host_ && Link == Link_)
-    retryOrFinish(Answer::refused(Call_.Id_, Refusal::ConnectionLost));
+void RoutedCall::onLinkDown(const HostId &Host) {
+  // The answer may come over another link to the host than the one that carried the call.
+  if (Done_ || Host != Host_ || Link_ == 0 || HostRun_ != 0)
+    return;
+  const Answer Lost = Answer::refused(Call_.Id_, Refusal::ConnectionLost);
+  const auto Run = Owner_.LinkRuns_.find(Link_);
+  if (mayRetry(Lost) || Run == Owner_.LinkRuns_.end()) {
+    retryOrFinish(Lost);
+    return;
+  }
+  HostRun_ = Run->second;
+  query();
+}
+
+void RoutedCall::query() {
+  QueryTimer_.expires_after(QueryInterval);
+  QueryTimer_.async_wait([Self = Ptr(this)](const boost::system::error_code &Failure) {
+    if (!Failure && !Self->Done_ && Self->HostRun_ != 0)
+      Self->query();
+  });
+  const CallId Id = Call_.Id_;
+  Owner_.Env_.Links_.send(Host_, MessageKind::CallQuery, nlohmann::json::array({Id, HostRun_}),
+                          [Self = Ptr(this), Id](LinkId Link) {
+                            if (Link == 0)
+                              Self->onQueryLost(Id);
+                            else
+                              Self->LostQueries_ = 0;
+                          });
+}
+
+void RoutedCall::onQueryLost(CallId Id) {
+  if (Done_ || Id != Call_.Id_)
+    return;
+  if (++LostQueries_ >= MaxLostQueries) {
+    retryOrFinish(Answer::refused(Id, Refusal::ConnectionLost));
+    return;
+  }
+  QueryTimer_.expires_after(LostQueryInterval);
+  QueryTimer_.async_wait([Self = Ptr(this), Id](const boost::system::error_code &Failure) {
+    if (!Failure && !Self->Done_ && Id == Self->Call_.Id_)
+      Self->query();
+  });
 }
 
 bool RoutedCall::mayRetry(const Answer &Result) const {
-  if (Try_ >= MaxTries || timeLeft() <= Duration::zero())
+  if (Cancelled_ || Try_ >= MaxTries || timeLeft() <= Duration::zero())
     return false;
   if (Result.Outcome_ == Outcome::NotRun)
     return refusalInfo(Result.Refusal_).MayRetry_;
@@ -101,7 +148,9 @@
   const Ptr Keep(this);
   Owner_.Running_.erase(Call_.Id_);
   Call_.Id_ = ++Owner_.LastCall_;
-  Call_.Attempts_ = std::min(Call_.Attempts_ - 1, Result.UnusedAttempts_);
+  Call_.Attempts_ =
+      std::min(Call_.Attempts_ - 1,
+               Result.Outcome_ == Outcome::NotRun ? Call_.Attempts_ : Result.UnusedAttempts_);
   if (Call_.Attempts_ == 0) {
     finish(Answer::refused(Call_.Id_, Refusal::AttemptsExhausted));
     return;
@@ -110,11 +159,21 @@
   send();
 }
 
+bool RoutedCall::isNeverSent() const {
+  // A second try may follow a first one whose outcome is unknown.
+  return Host_ != Owner_.Env_.Config_.Host_ && Link_ == 0 && Try_ <= 1;
+}
+
+void RoutedCall::abort() {
+  const Refusal Reason = isNeverSent() ? Refusal::ShuttingDown : Refusal::ConnectionLost;
+  cancel();
+  finish(Answer::refused(Call_.Id_, Reason));
+}
+
 void RoutedCall::onDeadline() {
   if (Done_)
     return;
-  const bool NeverSent = Host_ != Owner_.Env_.Config_.Host_ && Link_ == 0 && Try_ <= 1;
-  const Refusal Reason = NeverSent ? Refusal::DeadlineTooShort : Refusal::TimedOut;
+  const Refusal Reason = isNeverSent() ? Refusal::DeadlineTooShort : Refusal::TimedOut;
   cancel();
   finish(Answer::refused(Call_.Id_, Reason));
 }
@@ -122,6 +181,7 @@
 void RoutedCall::cancel() {
   if (Done_)
     return;
+  Cancelled_ = true;
   if (Host_ == Owner_.Env_.Config_.Host_)
     Owner_.Env_.Executor_.cancel(Host_, Call_.Id_);
   else if (Link_ != 0)
@@ -134,6 +194,7 @@
   const Ptr Keep(this);
   Done_ = true;
   Timer_.cancel();
+  QueryTimer_.cancel();
   if (Parent_)
     Parent_->AttemptsLeft_ += std::min(Result.UnusedAttempts_, Call_.Attempts_);
   ++Owner_.Outcomes_[Result.Outcome_ == Outcome::Served
--- a/src/node/routed_call.h
+++ b/src/node/routed_call.h
@@ -19,10 +19,14 @@
 
   void start();
   void onAnswer(const Answer &Result);
-  void onLinkDown(const HostId &Host, LinkId Link);
+  /// A link to a host was lost; if this call was sent there, asks what became of it.
+  void onLinkDown(const HostId &Host);
   const HostId &host() const { return Host_; }
-  /// The caller has gone away.
+  const CallContext *parent() const { return Parent_.get(); }
+  /// The caller or the parent call has gone away.
   void cancel();
+  /// Ends the call at once, because the node stops.
+  void abort();
 
 private:
   using Ptr = boost::intrusive_ptr<RoutedCall>;
@@ -30,7 +34,10 @@
   void send();
   void sendRemote();
   void onSent(std::uint32_t Try, LinkId Link);
+  void query();
+  void onQueryLost(CallId Id);
   void onDeadline();
+  bool isNeverSent() const;
   bool mayRetry(const Answer &Result) const;
   void retryOrFinish(const Answer &Result);
   void finish(const Answer &Result);
@@ -41,11 +48,15 @@
   HttpExchangePtr Exchange_;
   std::shared_ptr<CallContext> Parent_; ///< null for a caller's request
   boost::asio::steady_timer Timer_;
+  boost::asio::steady_timer QueryTimer_;
   TimePoint Deadline_;
   std::set<HostId> Tried_;
-  HostId Host_;     ///< host that the call was sent to last
-  LinkId Link_ = 0; ///< link that it was sent over; 0 while it waits for a link
+  HostId Host_;             ///< host that the call was sent to last
+  LinkId Link_ = 0;         ///< link that it was sent over; 0 while it waits for a link
+  Incarnation HostRun_ = 0; ///< incarnation that was asked; 0 before the first query
+  std::uint32_t LostQueries_ = 0;
   std::uint32_t Try_ = 0;
+  bool Cancelled_ = false;
   bool Done_ = false;
 };
 
--- a/src/node/router.cpp
+++ b/src/node/router.cpp
@@ -44,22 +44,30 @@
 Router::~Router() = default;
 
 absl::Status Router::start() {
-  Env_.Links_.setHandler(MessageKind::Call, [this](const Peer &From, const nlohmann::json &Body) {
-    Env_.Executor_.submit(From.Host_, Body.get<Call>(),
-                          [this, Host = From.Host_](const Answer &Result) {
-                            Env_.Links_.send(Host, MessageKind::Answer, Result);
-                          });
-  });
   Env_.Links_.setHandler(MessageKind::Answer, [this](const Peer &From, const nlohmann::json &Body) {
     onAnswer(From.Host_, Body.get<Answer>());
   });
-  Env_.Links_.setHandler(MessageKind::Cancel, [this](const Peer &From, const nlohmann::json &Body) {
-    Env_.Executor_.cancel(From.Host_, Body.get<CallId>());
-  });
+  Env_.Links_.addLinkUp([this](const Peer &Other) { LinkRuns_[Other.Link_] = Other.Incarnation_; });
   Env_.Links_.addLinkDown([this](const HostId &Host, LinkId Link) { onLinkDown(Host, Link); });
+  Env_.Executor_.setAbandoned([this](const CallContext &Parent) {
+    std::vector<RoutedCallPtr> Items;
+    for (const auto &[Id, Item] : Running_)
+      if (Item->parent() == &Parent)
+        Items.push_back(Item);
+    for (const RoutedCallPtr &Item : Items)
+      Item->cancel();
+  });
   return absl::OkStatus();
 }
 
+void Router::abort() {
+  std::vector<RoutedCallPtr> Items;
+  for (const auto &[Id, Item] : Running_)
+    Items.push_back(Item);
+  for (const RoutedCallPtr &Item : Items)
+    Item->abort();
+}
+
 void Router::stop() { Running_.clear(); }
 
 void Router::handleCaller(HttpRequest Request, const HttpExchangePtr &Exchange) {
@@ -175,7 +183,8 @@
     if (List.Service_ != Request.Service_)
       continue;
     for (const HostSpec &Host : List.Hosts_)
-      if (!Host.Leaving_ && Excluded.count(Host.Id_) == 0)
+      if (!Host.Leaving_ && Excluded.count(Host.Id_) == 0 && !Env_.Leaving_.isLeaving(Host.Id_) &&
+          !(Draining_ && Host.Id_ == Env_.Config_.Host_))
         Candidates.push_back(Host.Id_);
   }
   // Resends of an idempotency key go to the same host while the list stays the same.
@@ -188,6 +197,8 @@
 void Router::finished(CallId Id) { Running_.erase(Id); }
 
 void Router::onAnswer(const HostId &From, const Answer &Result) {
+  if (Result.Leaving_)
+    Env_.Leaving_.onNotice(From);
   const auto Found = Running_.find(Result.Id_);
   if (Found == Running_.end())
     return;
@@ -201,7 +212,8 @@
   for (const auto &[Id, Item] : Running_)
     Items.push_back(Item);
   for (const RoutedCallPtr &Item : Items)
-    Item->onLinkDown(Host, Link);
+    Item->onLinkDown(Host);
+  LinkRuns_.erase(Link);
 }
 
 nlohmann::json Router::dump() const {
--- a/src/node/router.h
+++ b/src/node/router.h
@@ -12,6 +12,7 @@
 #include "node/config_part.h"
 #include "node/executor.h"
 #include "node/http_server.h"
+#include "node/leaving_part.h"
 #include "node/part.h"
 #include "node/peer_links.h"
 
@@ -30,6 +31,7 @@
     CallContexts &Contexts_;
     PeerLinks &Links_;
     Executor &Executor_;
+    LeavingPart &Leaving_;
   };
 
   Router(const Parts &Environment, Incarnation Run);
@@ -41,6 +43,8 @@
   void handleEgress(HttpRequest Request, const HttpExchangePtr &Exchange);
   /// Refuses new requests of callers from now on; calls of running requests go on.
   void drain() { Draining_ = true; }
+  /// Ends all running requests at once with typed outcomes.
+  void abort();
   std::size_t running() const { return Running_.size(); }
 
   std::string_view name() const override { return "router"; }
@@ -64,6 +68,7 @@
   Logger Log_;
   CallId LastCall_ = 0;
   std::map<CallId, RoutedCallPtr> Running_;
+  std::map<LinkId, Incarnation> LinkRuns_; ///< incarnation at the other end of each open link
   std::map<std::string, std::uint64_t> Outcomes_; ///< count by refusal name or "served"
   bool Draining_ = false;
 };
--- a/tests/integration/fleet.cpp
+++ b/tests/integration/fleet.cpp
@@ -182,8 +182,7 @@
   Arguments.insert(Arguments.end(), Given.BackendOptions_.begin(), Given.BackendOptions_.end());
   if (Backends_[Host])
     Ended_.push_back(std::move(Backends_[Host]));
-  Backends_[Host] =
-      std::make_unique<Process>("backend " + Host, "tests/standin_backend", Arguments);
+  Backends_[Host] = std::make_unique<Process>("backend " + Host, Given.BackendProgram_, Arguments);
   REQUIRE(waitFor([&] { return backendStats(Host).is_object(); }, StartLimit));
 }
 
@@ -295,6 +294,11 @@
            makeRequest("POST", fmt::format("/control/rule?from={}&to={}&mode={}", From, To, Mode)));
 }
 
+void Fleet::freezeLinks(const std::string &From, const std::string &To) {
+  httpCall(ProxyControl_,
+           makeRequest("POST", fmt::format("/control/freeze?from={}&to={}", From, To)));
+}
+
 void Fleet::clearFaults() { httpCall(ProxyControl_, makeRequest("POST", "/control/clear")); }
 
 HttpReply Fleet::call(const std::string &Host, const std::string &Method, const std::string &Target,
--- a/tests/integration/fleet.h
+++ b/tests/integration/fleet.h
@@ -24,6 +24,7 @@
   std::string Slots_ = "32";
   std::string ServiceTimeUs_ = "1000";
   std::vector<std::string> BackendOptions_ = {};
+  std::string BackendProgram_ = "tests/standin_backend";
 };
 
 struct HttpReply {
@@ -103,6 +104,8 @@
   /// Sets what happens to bytes between nodes: pass, hold or cut. "*" stands for every host.
   void setFault(const std::string &From, const std::string &To, const std::string &Mode);
   void clearFaults();
+  /// Makes the open links between two hosts silent for good, in one direction.
+  void freezeLinks(const std::string &From, const std::string &To);
 
   /// Sends a request of a caller with the key of a team; no key if the team is empty.
   HttpReply call(const std::string &Host, const std::string &Method, const std::string &Target,
--- a/tests/standins/fault_proxy.cpp
+++ b/tests/standins/fault_proxy.cpp
@@ -2,6 +2,7 @@
 // listener to one host. The opener of a connection is known from the Bronzestand-Host header of
 // the WebSocket upgrade. /control/rule?from=A&to=B&mode=M sets what happens to bytes from A to B:
 // pass, hold (silent, nothing is closed) or cut (connections are reset and refused).
+// /control/freeze?from=A&to=B makes the open connections silent for good; new ones work.
 #include <array>
 #include <list>
 #include <memory>
@@ -67,10 +68,21 @@
 
   bool isOpen() const { return Opener_.is_open(); }
 
+  /// Holds the bytes from one host to another for the rest of this connection.
+  void freeze(const std::string &From, const std::string &To) {
+    const auto Matches = [](const std::string &Rule, const std::string &Name) {
+      return Rule == "*" || Rule == Name;
+    };
+    FrozenUpward_ = FrozenUpward_ || (Matches(From, From_) && Matches(To, To_));
+    FrozenDownward_ = FrozenDownward_ || (Matches(From, To_) && Matches(To, From_));
+  }
+
 private:
   using Chunk = std::array<char, 16384>;
 
   std::string mode(bool Upward) const {
+    if (Upward ? FrozenUpward_ : FrozenDownward_)
+      return "hold";
     return Upward ? Faults_.modeOf(From_, To_) : Faults_.modeOf(To_, From_);
   }
 
@@ -130,6 +142,8 @@
   Chunk Downward_{};
   std::function<void()> HeldUpward_;
   std::function<void()> HeldDownward_;
+  bool FrozenUpward_ = false;
+  bool FrozenDownward_ = false;
 };
 
 class Proxy {
@@ -147,6 +161,8 @@
     const auto Query = queryOf(Request.Target_);
     if (node::pathOf(Request.Target_) == "/control/clear")
       Faults_.clear();
+    else if (node::pathOf(Request.Target_) == "/control/freeze")
+      freeze(Query.at("from"), Query.at("to"));
     else
       Faults_.set(Query.at("from"), Query.at("to"), Query.at("mode"));
     for (const auto &Item : Tunnels_)
@@ -156,6 +172,12 @@
   }
 
 private:
+  void freeze(const std::string &From, const std::string &To) {
+    for (const auto &Item : Tunnels_)
+      if (const auto Alive = Item.lock())
+        Alive->freeze(From, To);
+  }
+
   static tcp::endpoint toAddress(const node::Endpoint &Address) {
     return {boost::asio::ip::make_address(Address.Address_), Address.Port_};
   }
