Keep calls that were reported as not run from leaving the node later

Cause: a call that waited for a link past its deadline was reported as not run, but stayed in the waiting list and was sent when the link opened. Change: a waiting call is asked for when the link opens, and dropped if it has ended. The pieces of a long handover have their own file. Result: a call held for 500 ms and refused as not run reaches no backend server after the link opens.

--- a/src/node/claims_part.cpp
+++ b/src/node/claims_part.cpp
@@ -244,10 +244,16 @@
       endRedirect(Result.Id_, Result);
   } else {
     ClaimMessage Message = decodeClaim(Body);
-    if (auto *Reply = std::get_if<HandoverReply>(&Message))
-      assemble(From.Host_, std::move(*Reply), Body);
-    else
+    if (auto *Reply = std::get_if<HandoverReply>(&Message)) {
+      const json &Place = Body.at(2);
+      const auto Whole = Assembler_.add(
+          From.Host_, {Place.at(0).get<std::uint64_t>(), Place.at(1).get<std::size_t>(),
+                       Place.at(2).get<std::size_t>(), std::move(*Reply)});
+      if (Whole)
+        deliver(From.Host_, *Whole);
+    } else {
       deliver(From.Host_, Message);
+    }
   }
 }
 
@@ -282,49 +288,15 @@
 }
 
 void ClaimsPart::sendReply(const HostId &To, const HandoverReply &Reply) {
-  const std::size_t Count =
-      std::max<std::size_t>(1, (Reply.Entries_.size() + EntriesPerMessage - 1) / EntriesPerMessage);
   if (Reply.Entries_.size() >= LargeReply)
     LargeReplies_[{To, Reply.Slot_, Reply.Fence_}] = now();
-  ++LastReply_;
-  for (std::size_t Index = 0; Index < Count; ++Index) {
-    HandoverReply Piece = Reply;
-    const auto First =
-        Reply.Entries_.begin() + static_cast<std::ptrdiff_t>(Index * EntriesPerMessage);
-    const auto Left = static_cast<std::size_t>(Reply.Entries_.end() - First);
-    Piece.Entries_.assign(First,
-                          First + static_cast<std::ptrdiff_t>(std::min(Left, EntriesPerMessage)));
-    json Body = encodeClaim(Piece);
-    Body.push_back(json::array({LastReply_, Index, Count}));
+  for (const HandoverPiece &Piece : splitHandover(Reply, ++LastReply_, EntriesPerMessage)) {
+    json Body = encodeClaim(Piece.Reply_);
+    Body.push_back(json::array({Piece.Number_, Piece.Index_, Piece.Count_}));
     Links_.send(To, MessageKind::Claims, std::move(Body));
   }
 }
 
-void ClaimsPart::assemble(const HostId &From, HandoverReply Reply, const json &Body) {
-  const auto Number = Body.at(2).at(0).get<std::uint64_t>();
-  const auto Index = Body.at(2).at(1).get<std::size_t>();
-  const auto Count = Body.at(2).at(2).get<std::size_t>();
-  const SlotOfPeer Key(From, Reply.Slot_ % ClaimSlots, Reply.Fence_);
-  Assembly &Current = Assemblies_[Key];
-  if (Index == 0)
-    Current = {Number, 0, {}};
-  // A part was lost: the witness counts a reply only with all entries, and asks again.
-  if (Current.Number_ != Number || Current.Next_ != Index) {
-    Assemblies_.erase(Key);
-    return;
-  }
-  ++Current.Next_;
-  auto Entries = std::move(Current.Reply_.Entries_);
-  Entries.insert(Entries.end(), Reply.Entries_.begin(), Reply.Entries_.end());
-  Current.Reply_ = std::move(Reply);
-  Current.Reply_.Entries_ = std::move(Entries);
-  if (Current.Next_ < Count)
-    return;
-  const HandoverReply Whole = std::move(Current.Reply_);
-  Assemblies_.erase(Key);
-  deliver(From, Whole);
-}
-
 bool ClaimsPart::isRepeated(const HostId &From, const HandoverRequest &Request, TimePoint Now) {
   const auto Found = LargeReplies_.find({From, Request.Slot_, Request.Fence_});
   if (Found == LargeReplies_.end())
--- a/src/node/claims_part.h
+++ b/src/node/claims_part.h
@@ -9,6 +9,7 @@
 
 #include "bronzestand/claims.h"
 #include "node/config_part.h"
+#include "node/handover_pieces.h"
 #include "node/part.h"
 #include "node/peer_links.h"
 
@@ -62,12 +63,6 @@
     LinkId Link_ = 0;
     TimePoint Deadline_;
   };
-  /// Parts of a HandoverReply that have arrived.
-  struct Assembly {
-    std::uint64_t Number_ = 0;
-    std::size_t Next_ = 0;
-    HandoverReply Reply_;
-  };
   using SlotOfPeer = std::tuple<HostId, std::uint32_t, bool>;
 
   void updateHosts(TimePoint Now);
@@ -77,7 +72,6 @@
   void send(const std::vector<ClaimSend> &Sends);
   void sendOne(const ClaimSend &Item);
   void sendReply(const HostId &To, const HandoverReply &Reply);
-  void assemble(const HostId &From, HandoverReply Reply, const nlohmann::json &Body);
   bool isRepeated(const HostId &From, const HandoverRequest &Request, TimePoint Now);
   void apply(const ClaimEffects &Effects);
   void decide(const ClaimDecided &Item);
@@ -95,7 +89,7 @@
   RedirectHandler OnRedirected_;
   std::unordered_map<ClaimId, Waiting> Waiting_;
   std::map<CallId, Redirect> Redirects_;
-  std::map<SlotOfPeer, Assembly> Assemblies_;
+  HandoverAssembler Assembler_;
   std::map<SlotOfPeer, TimePoint> LargeReplies_;
   CallId LastRedirect_;
   std::uint64_t LastReply_ = 0;
--- a/src/node/peer_links.cpp
+++ b/src/node/peer_links.cpp
@@ -62,6 +62,7 @@
   MessageKind Kind_;
   json Body_;
   PeerLinks::SentCallback OnSent_;
+  PeerLinks::WantedCheck Wanted_;
 };
 
 struct Link {
@@ -120,7 +121,8 @@
       closeLink(Id, "node stops");
   }
 
-  void send(const HostId &To, MessageKind Kind, json Body, SentCallback OnSent) {
+  void send(const HostId &To, MessageKind Kind, json Body, SentCallback OnSent,
+            WantedCheck Wanted) {
     if (Link *Open = openLinkTo(To)) {
       if (Kind != MessageKind::Heartbeat)
         Open->LastUsed_ = now();
@@ -136,7 +138,7 @@
         OnSent(0);
       return;
     }
-    Waiting.push_back({Kind, std::move(Body), std::move(OnSent)});
+    Waiting.push_back({Kind, std::move(Body), std::move(OnSent), std::move(Wanted)});
     if (Waiting.size() == 1 && !openFor(To))
       dropWaiting(To);
   }
@@ -393,8 +395,13 @@
       return;
     auto Messages = std::move(Found->second);
     Waiting_.erase(Found);
-    for (WaitingMessage &Message : Messages)
-      send(Host, Message.Kind_, std::move(Message.Body_), std::move(Message.OnSent_));
+    for (WaitingMessage &Message : Messages) {
+      if (!Message.Wanted_ || Message.Wanted_())
+        send(Host, Message.Kind_, std::move(Message.Body_), std::move(Message.OnSent_),
+             std::move(Message.Wanted_));
+      else if (Message.OnSent_)
+        Message.OnSent_(0);
+    }
   }
 
   void dropWaiting(const HostId &Host) {
@@ -485,8 +492,9 @@
   Impl_->ListRevision_ = List;
 }
 void PeerLinks::advanceEpoch() { ++Impl_->Epoch_; }
-void PeerLinks::send(const HostId &To, MessageKind Kind, json Body, SentCallback OnSent) {
-  Impl_->send(To, Kind, std::move(Body), std::move(OnSent));
+void PeerLinks::send(const HostId &To, MessageKind Kind, json Body, SentCallback OnSent,
+                     WantedCheck Wanted) {
+  Impl_->send(To, Kind, std::move(Body), std::move(OnSent), std::move(Wanted));
 }
 void PeerLinks::connect(const Endpoint &Address) { Impl_->connect(Address); }
 bool PeerLinks::isLinked(const HostId &Host) const { return Impl_->isLinked(Host); }
--- a/src/node/peer_links.h
+++ b/src/node/peer_links.h
@@ -32,6 +32,8 @@
   using Resolver = std::function<std::optional<Endpoint>(const HostId &Host)>;
   /// Told once per message: the link that it was written to, or 0 if it was never written.
   using SentCallback = std::function<void(LinkId Link)>;
+  /// Asked before a message that has waited for a link is written; if false, it is dropped.
+  using WantedCheck = std::function<bool()>;
   using LinkDownCallback = std::function<void(const HostId &Host, LinkId Link)>;
   using LinkUpCallback = std::function<void(const Peer &Other)>;
 
@@ -48,7 +50,8 @@
   void advanceEpoch();
 
   /// Sends a message, over a new link if there is none. May lose it; tells so through OnSent.
-  void send(const HostId &To, MessageKind Kind, nlohmann::json Body, SentCallback OnSent = {});
+  void send(const HostId &To, MessageKind Kind, nlohmann::json Body, SentCallback OnSent = {},
+            WantedCheck Wanted = {});
   /// Opens a link to an address whose host is not known yet; used at start.
   void connect(const Endpoint &Address);
   bool isLinked(const HostId &Host) const;
--- a/src/node/routed_call.cpp
+++ b/src/node/routed_call.cpp
@@ -66,8 +66,13 @@
 }
 
 void RoutedCall::sendRemote() {
-  Owner_.Env_.Links_.send(Host_, MessageKind::Call, Call_,
-                          [Self = Ptr(this), Try = Try_](LinkId Link) { Self->onSent(Try, Link); });
+  // A call that was reported as not run must not leave the node when a link opens later.
+  Owner_.Env_.Links_.send(
+      Host_, MessageKind::Call, Call_,
+      [Self = Ptr(this), Try = Try_](LinkId Link) { Self->onSent(Try, Link); },
+      [Self = Ptr(this), Try = Try_] {
+        return !Self->Done_ && !Self->Cancelled_ && Try == Self->Try_;
+      });
 }
 
 void RoutedCall::onSent(std::uint32_t Try, LinkId Link) {
--- a/tests/integration/answers_test.cpp
+++ b/tests/integration/answers_test.cpp
@@ -135,6 +135,23 @@
   CHECK(secondsSince(Start) < 6.0);
 }
 
+// Guards against a call that leaves the node after it was reported as not run.
+TEST_CASE_METHOD(AnswersFixture, "answers_not_run_call_does_not_run_when_a_link_opens_later") {
+  Fleet_.setFault("pay-1", "*", "hold");
+  node::HttpRequest Request{"GET", "/slow", {{"X-Api-Key", "key-hotels"}}, {}};
+  Request.Headers_.push_back({"Bronzestand-Deadline-Ms", "500"});
+  const HttpReply Reply = httpCall(Fleet_.callerAddress("pay-1"), Request);
+  CHECK(Reply.outcome() == "not-run");
+  Fleet_.clearFaults();
+  REQUIRE(waitFor(
+      [&] {
+        return Fleet_.call("pay-1", "GET", "/slow", "hotels", {{"Bronzestand-Deadline-Ms", "5000"}})
+                   .outcome() == "served";
+      },
+      milliseconds(8000)));
+  CHECK(Fleet_.backendStats("slow-1")["received"] == 1);
+}
+
 // Guards against a truncated answer of a backend server that is passed on as whole.
 TEST_CASE_METHOD(AnswersFixture, "answers_truncated_by_the_backend_server_are_not_passed_on") {
   for (const char *Path : {"/length", "/chunked", "/close"}) {
--- a/tests/integration/shutdown_test.cpp
+++ b/tests/integration/shutdown_test.cpp
@@ -4,7 +4,10 @@
 #include <iostream>
 #include <thread>
 
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 
@@ -157,6 +160,34 @@
   CHECK(Wrong == 0);
 }
 
+// Guards against pipelined requests that are dropped because they wait behind a running one.
+TEST_CASE_METHOD(ShutdownFixture, "shutdown_answers_pipelined_requests_that_have_arrived") {
+  boost::asio::io_context Io;
+  const node::Endpoint Address = Fleet_.callerAddress("book-1");
+  boost::asio::ip::tcp::socket Socket(Io);
+  Socket.connect({boost::asio::ip::make_address(Address.Address_), Address.Port_});
+  std::string Text;
+  for (int Index = 0; Index < 3; ++Index)
+    Text += fmt::format("POST /deposits HTTP/1.1\r\nHost: a\r\nX-Api-Key: key-hotels\r\n"
+                        "Idempotency-Key: {}\r\nContent-Length: 0\r\n\r\n",
+                        uuidV7());
+  boost::asio::write(Socket, boost::asio::buffer(Text));
+  REQUIRE(waitFor([&] { return Fleet_.state("book-1")["router"]["running"] == 1; },
+                  milliseconds(2000)));
+  Fleet_.node("book-1").signal(SIGTERM);
+  std::string Answers;
+  boost::system::error_code End;
+  boost::asio::read(Socket, boost::asio::dynamic_buffer(Answers), End);
+  CHECK(End == boost::asio::error::eof);
+  int Outcomes = 0;
+  for (std::size_t At = 0; (At = Answers.find("Bronzestand-Outcome: ", At)) != std::string::npos;
+       ++At)
+    ++Outcomes;
+  CHECK(Outcomes == 3);
+  CHECK(Answers.find("Bronzestand-Outcome: served") != std::string::npos);
+  CHECK(Answers.find("Bronzestand-Outcome: unknown") == std::string::npos);
+}
+
 // Guards against an end without answers when the operator does not wait for the drain.
 TEST_CASE_METHOD(ShutdownFixture, "shutdown_second_signal_ends_with_typed_outcomes") {
   for (const HostOptions &Host : Fleet_.hosts())
