Measure what a claim adds to a call

Cause: the time that the claim adds to a request was not measured. Change: a bench case sends the same route with and without claims.

--- a/bench/path_bench.cpp
+++ b/bench/path_bench.cpp
@@ -27,7 +27,8 @@
 }
 
 /// Sends calls at the rate of one node, whatever the answers do, and returns their times in ms.
-std::vector<double> pacedTimes(const node::Endpoint &Server) {
+std::vector<double> pacedTimes(const node::Endpoint &Server,
+                               const std::function<node::HttpRequest()> &Make = makeRequest) {
   boost::asio::io_context Io(1);
   node::HttpClient Client(Io, Server, 500);
   boost::asio::steady_timer Timer(Io);
@@ -40,7 +41,7 @@
     Timer.expires_at(Start + Sent++ * CallInterval);
     Timer.async_wait([&](const boost::system::error_code &) {
       const TimePoint Begin = node::now();
-      Client.send(makeRequest(), std::chrono::seconds(5),
+      Client.send(Make(), std::chrono::seconds(5),
                   [&, Begin](node::HttpResult Result, const node::HttpResponse &Response) {
                     REQUIRE(Result == node::HttpResult::Answered);
                     REQUIRE(Response.Status_ == 200);
@@ -127,3 +128,27 @@
                            MemoryBefore, residentMegabytes(Entry),
                            PacedCalls + ThroughputCalls + 1);
 }
+
+// Time that the claim of an idempotency key adds, against the same route with claims switched off.
+TEST_CASE("path_claimed_call_against_unclaimed_call") {
+  std::cout << fmt::format("{:<12}{:>12}{:>12}\n", "ms", "median", "99th");
+  for (const char *Disabled : {"claims", ""}) {
+    Fleet Hosts({{"pay-1", "payments", "colombo"},
+                 {"pay-2", "payments", "negombo"},
+                 {"pay-3", "payments", "gampaha"},
+                 {"cat-1", "catalogue", "colombo"}},
+                Fleet::PeerPath::Direct, Disabled);
+    Hosts.putBasics({{"payments", "- {method: POST, path: /deposits, class: charging}\n"},
+                     {"catalogue", "[]\n"}});
+    Hosts.put("classes/charging", "{target: {served: 0.9, within: 5000}, at_most_once: true}\n");
+    Hosts.putTeam("hotels", 1e6, 1e6);
+    REQUIRE(Hosts.waitUntilInForce());
+    const auto Make = [] {
+      return node::HttpRequest{
+          "POST", "/deposits", {{"X-Api-Key", "key-hotels"}, {"Idempotency-Key", uuidV7()}}, {}};
+    };
+    const auto Times = pacedTimes(Hosts.callerAddress("cat-1"), Make);
+    std::cout << fmt::format("{:<12}{:>12.3f}{:>12.3f}\n", *Disabled == 0 ? "claimed" : "unclaimed",
+                             quantile(Times, 0.5), quantile(Times, 0.99));
+  }
+}
