Report an undecided claim as unknown when its call is cancelled

Cause: a call that another executor may run by a redirect was reported as cancelled and not run when its deadline passed during the redirect. Change: cancelling or aborting a call whose claim is undecided is unknown.

--- a/src/node/claims_part.cpp
+++ b/src/node/claims_part.cpp
@@ -317,12 +317,12 @@
   const ClaimantDump Claims = Claimant_.dump();
   const ClaimSettings &Given = Config_.Claims_;
   const TimePoint KnowsFrom = FirstList_ + Given.Grace_;
-  const bool Votes_ = List_ != 0 && Votes.Fresh_;
+  const bool CanVote = List_ != 0 && Votes.Fresh_;
   return {
       {"enabled", Config_.isEnabled(Mechanism::Claims)},
       {"list_revision", List_},
-      {"accepts_new_keys", Votes_ && Now >= KnowsFrom + Given.Skew_},
-      {"accepts_all_keys", Votes_ && Now >= KnowsFrom + Given.Lifetime_ + Given.DispatchWindow_},
+      {"accepts_new_keys", CanVote && Now >= KnowsFrom + Given.Skew_},
+      {"accepts_all_keys", CanVote && Now >= KnowsFrom + Given.Lifetime_ + Given.DispatchWindow_},
       {"witness",
        {{"entries", Votes.Entries_},
         {"slots", Votes.Slots_},
--- a/src/node/executor.cpp
+++ b/src/node/executor.cpp
@@ -168,8 +168,9 @@
     const auto Found = Running_.find(Key);
     if (Found == Running_.end())
       continue;
-    const bool Ran = !Found->second.Token_.empty();
-    finish(Key, Answer::refused(Key.second, Ran ? Refusal::ConnectionLost : Refusal::ShuttingDown));
+    const bool MayRun = !Found->second.Token_.empty() || Claims_.covers(Found->second.Call_);
+    finish(Key,
+           Answer::refused(Key.second, MayRun ? Refusal::ConnectionLost : Refusal::ShuttingDown));
   }
 }
 
@@ -178,7 +179,10 @@
   if (Found == Running_.end() || Found->second.Claim_ != 0)
     return; // a claimed call runs to its end, because its answer serves resends
   if (Found->second.Token_.empty())
-    finish(Found->first, Answer::refused(Id, Refusal::Cancelled));
+    // Another executor may run the call by a redirect, so an undecided claim proves nothing.
+    finish(Found->first,
+           Answer::refused(Id, Claims_.covers(Found->second.Call_) ? Refusal::TimedOut
+                                                                   : Refusal::Cancelled));
   else
     Backend_.cancel(Found->second.Request_);
 }
