--- a/src/node/executor.cpp
+++ b/src/node/executor.cpp
@@ -16,9 +16,10 @@
 } // namespace
 
 Executor::Executor(boost::asio::io_context &Io, const Settings &Config, const ConfigPart &Documents,
-                   CallContexts &Contexts, ClaimsPart &Claims)
-    : Config_(Config), Documents_(Documents), Contexts_(Contexts), Claims_(Claims),
-      Log_(makeLogger("executor")), Backend_(Io, Config.BackendServer_, MaxBackendConnections) {}
+                   CallContexts &Contexts, ClaimsPart &Claims, CrashGuard &Guard, Metrics &Times)
+    : Config_(Config), Documents_(Documents), Contexts_(Contexts), Claims_(Claims), Guard_(Guard),
+      Times_(Times), Log_(makeLogger("executor")),
+      Backend_(Io, Config.BackendServer_, MaxBackendConnections) {}
 
 absl::Status Executor::start() {
   Claims_.setRedirectHandler(
@@ -37,6 +38,7 @@
   Item.Call_ = std::move(Request);
   Item.Done_ = std::move(Done);
   Item.Redirected_ = Redirected;
+  Item.Submitted_ = now();
   const Call &Current = Item.Call_;
   // A redirected call may ask for the answer of a first run here, also while this node drains.
   if (Draining_ && !Redirected)
@@ -69,6 +71,22 @@
 
 void Executor::dispatch(const CallKey &Key) {
   RunningCall &Item = Running_.at(Key);
+  Item.Deadline_ = now() + Item.Call_.TimeLeft_;
+  Guard_.enter(Key, Item.Call_, [this, Key](std::optional<Refusal> Reason) {
+    if (Reason)
+      finish(Key, Answer::refused(Key.second, *Reason));
+    else
+      run(Key);
+  });
+}
+
+void Executor::run(const CallKey &Key) {
+  const auto Found = Running_.find(Key);
+  if (Found == Running_.end())
+    return; // ended while it waited
+  RunningCall &Item = Found->second;
+  Item.Sent_ = now();
+  Item.Call_.TimeLeft_ = Item.Deadline_ - Item.Sent_;
   const Call &Current = Item.Call_;
   CallContext Context;
   Context.Request_ = Current.Request_;
@@ -112,7 +130,13 @@
   const auto Found = Running_.find(Key);
   if (Found == Running_.end())
     return;
+  Found->second.BackendTime_ = now() - Found->second.Sent_;
   const CallId Id = Found->second.Call_.Id_;
+  if (Result == HttpResult::Lost) {
+    Guard_.lost(Key,
+                [this, Key] { finish(Key, Answer::refused(Key.second, Refusal::ConnectionLost)); });
+    return;
+  }
   Answer Done;
   switch (Result) {
   case HttpResult::Answered:
@@ -142,7 +166,10 @@
     return;
   const RunningCall Item = std::move(Found->second);
   Running_.erase(Found);
+  Guard_.leave(Key, Result.Outcome_ == Outcome::Served);
   const bool Ran = !Item.Token_.empty();
+  if (Ran)
+    Times_.executed(now() - Item.Submitted_ - Item.BackendTime_, Item.Sent_ - Item.Submitted_);
   Result.UnusedAttempts_ = Item.Call_.Attempts_;
   const auto Context = Contexts_.remove(Item.Token_);
   if (Context && Result.Outcome_ != Outcome::Served && OnAbandoned_)
@@ -168,7 +195,8 @@
     const auto Found = Running_.find(Key);
     if (Found == Running_.end())
       continue;
-    const bool MayRun = !Found->second.Token_.empty() || Claims_.covers(Found->second.Call_);
+    const RunningCall &Item = Found->second;
+    const bool MayRun = !Item.Token_.empty() || (Claims_.covers(Item.Call_) && Item.Claim_ == 0);
     finish(Key,
            Answer::refused(Key.second, MayRun ? Refusal::ConnectionLost : Refusal::ShuttingDown));
   }
@@ -176,15 +204,18 @@
 
 void Executor::cancel(const HostId &Caller, CallId Id) {
   const auto Found = Running_.find({Caller, Id});
-  if (Found == Running_.end() || Found->second.Claim_ != 0)
-    return; // a claimed call runs to its end, because its answer serves resends
-  if (Found->second.Token_.empty())
+  if (Found == Running_.end())
+    return;
+  const RunningCall &Item = Found->second;
+  if (Item.Token_.empty()) {
     // Another executor may run the call by a redirect, so an undecided claim proves nothing.
-    finish(Found->first,
-           Answer::refused(Id, Claims_.covers(Found->second.Call_) ? Refusal::TimedOut
-                                                                   : Refusal::Cancelled));
-  else
-    Backend_.cancel(Found->second.Request_);
+    const bool Undecided = Claims_.covers(Item.Call_) && Item.Claim_ == 0;
+    finish(Found->first, Answer::refused(Id, Undecided ? Refusal::TimedOut : Refusal::Cancelled));
+  } else if (Item.Claim_ != 0) {
+    return; // a claimed call runs to its end, because its answer serves resends
+  } else {
+    Backend_.cancel(Item.Request_);
+  }
 }
 
 nlohmann::json Executor::dump() const {
--- a/src/node/executor.h
+++ b/src/node/executor.h
@@ -8,7 +8,9 @@
 #include "node/call_contexts.h"
 #include "node/claims_part.h"
 #include "node/config_part.h"
+#include "node/crash_guard.h"
 #include "node/http_client.h"
+#include "node/metrics.h"
 #include "node/part.h"
 
 namespace bronzestand::node {
@@ -19,7 +21,7 @@
   using Reply = std::function<void(Answer Result)>;
 
   Executor(boost::asio::io_context &Io, const Settings &Config, const ConfigPart &Documents,
-           CallContexts &Contexts, ClaimsPart &Claims);
+           CallContexts &Contexts, ClaimsPart &Claims, CrashGuard &Guard, Metrics &Times);
 
   /// Takes a call. Reply is called once, unless the call is cancelled before.
   /// \param Caller node that sent the call; with the call's id it names the call.
@@ -48,6 +50,10 @@
     Call Call_;
     Reply Done_;
     std::string Token_;
+    TimePoint Submitted_;
+    TimePoint Deadline_;
+    TimePoint Sent_;
+    Duration BackendTime_{};
     HttpClient::RequestNumber Request_ = 0;
     std::optional<Incarnation> Redirected_;
     ClaimId Claim_ = 0; ///< claim by which the call may be dispatched; 0 without one
@@ -55,6 +61,7 @@
 
   void claim(const CallKey &Key);
   void dispatch(const CallKey &Key);
+  void run(const CallKey &Key);
   void onBackendResult(const CallKey &Key, HttpResult Result, HttpResponse Response);
   void finish(const CallKey &Key, Answer Result);
 
@@ -62,6 +69,8 @@
   const ConfigPart &Documents_;
   CallContexts &Contexts_;
   ClaimsPart &Claims_;
+  CrashGuard &Guard_;
+  Metrics &Times_;
   Logger Log_;
   HttpClient Backend_;
   std::map<CallKey, RunningCall> Running_;
--- a/src/node/leaving_part.cpp
+++ b/src/node/leaving_part.cpp
@@ -34,8 +34,11 @@
 
 void LeavingPart::onNotice(const HostId &Host) {
   const auto Newest = Newest_.find(Host);
-  if (Newest != Newest_.end() && Leaving_.emplace(Host, Newest->second).second)
-    Log_->info("{} is leaving", Host.str());
+  if (Newest == Newest_.end() || !Leaving_.emplace(Host, Newest->second).second)
+    return;
+  Log_->info("{} is leaving", Host.str());
+  if (OnNotice_)
+    OnNotice_(Host, Newest->second);
 }
 
 void LeavingPart::announce() {
--- a/src/node/leaving_part.h
+++ b/src/node/leaving_part.h
@@ -1,6 +1,7 @@
 #ifndef BRONZESTAND_NODE_LEAVING_PART_H
 #define BRONZESTAND_NODE_LEAVING_PART_H
 
+#include <functional>
 #include <map>
 
 #include "node/log.h"
@@ -18,8 +19,9 @@
   /// Tells all linked nodes, and those that open a link later, to send no new work.
   void announce();
   bool isLeaving(const HostId &Host) const { return Leaving_.count(Host) != 0; }
-  /// Records a notice that came with an answer.
-  void onNotice(const HostId &Host);
+  using NoticeCallback = std::function<void(const HostId &Host, Incarnation Run)>;
+  /// Told of each node that announces its shutdown.
+  void setNoticeCallback(NoticeCallback Callback) { OnNotice_ = std::move(Callback); }
 
   std::string_view name() const override { return "leaving"; }
   absl::Status start() override;
@@ -27,10 +29,12 @@
   nlohmann::json dump() const override;
 
 private:
+  void onNotice(const HostId &Host);
   void onLinkUp(const Peer &Other);
 
   PeerLinks &Links_;
   Logger Log_;
+  NoticeCallback OnNotice_;
   std::map<LinkId, Peer> Linked_;
   std::map<HostId, Incarnation> Newest_;  ///< of linked hosts and of those that leave
   std::map<HostId, Incarnation> Leaving_; ///< incarnation that leaves
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -2,13 +2,19 @@
 
 #include <functional>
 
+#include <boost/algorithm/string/predicate.hpp>
+
 #include "node/call_contexts.h"
 #include "node/claims_part.h"
 #include "node/clock.h"
 #include "node/config_part.h"
+#include "node/crash_guard.h"
 #include "node/executor.h"
+#include "node/host_choice.h"
 #include "node/http_server.h"
 #include "node/leaving_part.h"
+#include "node/link_part.h"
+#include "node/metrics.h"
 #include "node/peer_links.h"
 #include "node/platform_reader.h"
 #include "node/remote_calls.h"
@@ -21,6 +27,7 @@
 constexpr Duration TickInterval = std::chrono::milliseconds(100);
 /// Time in which answers are written to callers and peers before an immediate stop.
 constexpr Duration AbortTime = std::chrono::milliseconds(200);
+constexpr std::string_view RequestsPath = "/requests/";
 constexpr std::string_view JsonType = "application/json";
 
 HttpResponse textResponse(unsigned Status, std::string_view Type, std::string Body) {
@@ -38,10 +45,14 @@
   Impl(boost::asio::io_context &Io, Settings Config)
       : Io_(Io), Config_(std::move(Config)), Run_(wallMicroseconds()), Log_(makeLogger("node")),
         Timer_(Io), Links_(Io, Config_, Run_), Reader_(Io, Config_), Documents_(Reader_),
+        Metrics_(Documents_), Recent_(Config_.Host_), Guard_(Io, Config_, Documents_, Links_),
         Claims_(Config_, Documents_, Links_, Run_),
-        Executor_(Io, Config_, Documents_, Contexts_, Claims_), Leaving_(Links_),
-        RemoteCalls_(Executor_, Links_, Run_),
-        Router_({Io, Config_, Documents_, Contexts_, Links_, Executor_, Leaving_}, Run_),
+        Executor_(Io, Config_, Documents_, Contexts_, Claims_, Guard_, Metrics_), Leaving_(Links_),
+        RemoteCalls_(Executor_, Links_, Run_), Hosts_(Config_, Documents_, Run_),
+        LinkBudget_(Config_, Documents_, Links_),
+        Router_({Io, Config_, Documents_, Contexts_, Links_, Executor_, Hosts_, LinkBudget_,
+                 Metrics_, Recent_},
+                Run_),
         CallerServer_(Io, Config_.CallerListen_, {},
                       [this](HttpRequest Request, const HttpExchangePtr &Exchange) {
                         Router_.handleCaller(std::move(Request), Exchange);
@@ -57,6 +68,8 @@
 
   absl::Status start() {
     Links_.setResolver([this](const HostId &Host) { return addressOf(Host); });
+    Leaving_.setNoticeCallback(
+        [this](const HostId &Host, Incarnation Run) { Hosts_.observe(Host, Run, true); });
     for (Part *Child : children())
       Supervisor_.add(*Child);
     for (HttpServer *Server : {&OperatorServer_, &EgressServer_}) {
@@ -81,6 +94,7 @@
     DrainEnd_ = now() + Config_.DrainLimit_;
     Log_->info("shut down, {} requests run", Router_.running());
     Leaving_.announce();
+    Hosts_.observe(Config_.Host_, Run_, true);
     Claims_.leave();
     CallerServer_.drain();
     Router_.drain();
@@ -89,8 +103,8 @@
 
 private:
   std::vector<Part *> children() {
-    return {&Links_,   &Reader_,   &Documents_,   &Claims_,
-            &Leaving_, &Executor_, &RemoteCalls_, &Router_};
+    return {&Links_,  &Reader_,  &Documents_, &LinkBudget_,  &Guard_, &Metrics_,
+            &Claims_, &Leaving_, &Executor_,  &RemoteCalls_, &Router_};
   }
 
   std::optional<Endpoint> addressOf(const HostId &Host) const {
@@ -149,6 +163,10 @@
   void handleOperator(const HttpRequest &Request, const HttpExchangePtr &Exchange) {
     if (Request.Target_ == "/state")
       Exchange->respond(textResponse(200, JsonType, dump().dump(2)));
+    else if (Request.Target_ == "/metrics")
+      Exchange->respond(textResponse(200, "text/plain; version=0.0.4", Metrics_.prometheusText()));
+    else if (boost::starts_with(Request.Target_, RequestsPath))
+      handleRequestPage(Request.Target_.substr(RequestsPath.size()), Exchange);
     else if (Request.Target_ == "/healthz")
       Exchange->respond(textResponse(Documents_.isReady() && !Draining_ ? 200 : 503, "text/plain",
                                      Documents_.isReady() ? "ready\n" : "not ready\n"));
@@ -156,6 +174,15 @@
       Exchange->respond(textResponse(404, "text/plain", "unknown page\n"));
   }
 
+  void handleRequestPage(const std::string &Id, const HttpExchangePtr &Exchange) {
+    const nlohmann::json Records = Recent_.find(Id);
+    if (Records.is_null())
+      Exchange->respond(textResponse(404, "text/plain", "unknown request\n"));
+    else
+      Exchange->respond(textResponse(
+          200, JsonType, Records.dump(2, ' ', false, nlohmann::json::error_handler_t::replace)));
+  }
+
   nlohmann::json dump() {
     nlohmann::json Result{{"host", Config_.Host_.str()},
                           {"data_centre", Config_.DataCentre_.str()},
@@ -179,10 +206,15 @@
   PeerLinks Links_;
   PlatformReader Reader_;
   ConfigPart Documents_;
+  Metrics Metrics_;
+  RecentRequests Recent_;
+  CrashGuard Guard_;
   ClaimsPart Claims_;
   Executor Executor_;
   LeavingPart Leaving_;
   RemoteCalls RemoteCalls_;
+  HostChoice Hosts_;
+  LinkPart LinkBudget_;
   Router Router_;
   HttpServer CallerServer_;
   HttpServer EgressServer_;
--- a/src/node/routed_call.cpp
+++ b/src/node/routed_call.cpp
@@ -31,7 +31,15 @@
                        std::shared_ptr<CallContext> Parent)
     : Owner_(Owner), Call_(std::move(Request)), Exchange_(std::move(Exchange)),
       Parent_(std::move(Parent)), Timer_(Owner.Env_.Io_), QueryTimer_(Owner.Env_.Io_),
-      Deadline_(now() + Call_.TimeLeft_) {}
+      Deadline_(now() + Call_.TimeLeft_), Started_(now()) {
+  Record_.Request_ = Call_.Request_;
+  Record_.Team_ = Call_.Team_;
+  Record_.Class_ = Call_.Class_;
+  Record_.Service_ = Call_.Service_;
+  Record_.Method_ = Call_.Method_;
+  Record_.Child_ = Parent_ != nullptr;
+  Record_.Allowance_ = Call_.Attempts_;
+}
 
 Duration RoutedCall::timeLeft() const { return Deadline_ - now(); }
 
@@ -48,9 +56,14 @@
 void RoutedCall::send() {
   Host_ = Owner_.chooseHost(Call_, Tried_);
   if (Host_.empty()) {
-    finish(Answer::refused(Call_.Id_, Refusal::NoBackendServer));
+    const bool AllBusy = Owner_.Env_.Hosts_.hasHosts(Call_.Service_);
+    const Refusal Reason = AllBusy ? Refusal::Overloaded : Refusal::NoBackendServer;
+    finish(Answer::refused(Call_.Id_, LastRefusal_.value_or(Reason)));
     return;
   }
+  Owner_.Env_.Hosts_.started(Host_);
+  TryRuns_ = true;
+  TryStarted_ = now();
   ++Try_;
   Link_ = 0;
   HostRun_ = 0;
@@ -66,6 +79,12 @@
 }
 
 void RoutedCall::sendRemote() {
+  if (!Owner_.Env_.LinkBudget_.mayCall(Host_, Call_)) {
+    Answer Result = Answer::refused(Call_.Id_, Refusal::Overloaded);
+    Result.UnusedAttempts_ = Call_.Attempts_;
+    retryOrFinish(Result);
+    return;
+  }
   // A call that was reported as not run must not leave the node when a link opens later.
   Owner_.Env_.Links_.send(
       Host_, MessageKind::Call, Call_,
@@ -79,8 +98,11 @@
   if (Done_ || Try != Try_)
     return;
   Link_ = Link;
-  if (Link == 0)
-    retryOrFinish(Answer::refused(Call_.Id_, Refusal::NoBackendServer));
+  if (Link != 0)
+    return;
+  Answer Result = Answer::refused(Call_.Id_, Refusal::NoBackendServer);
+  Result.UnusedAttempts_ = Call_.Attempts_; // the call was never written
+  retryOrFinish(Result);
 }
 
 void RoutedCall::onAnswer(const Answer &Result) {
@@ -144,11 +166,28 @@
   return Call_.Idempotent_ && !Call_.AtMostOnce_;
 }
 
+void RoutedCall::endTry(const Answer &Result) {
+  if (!std::exchange(TryRuns_, false))
+    return;
+  const Duration Time = now() - TryStarted_;
+  const bool Served = Result.Outcome_ == Outcome::Served;
+  Record_.Tries_.push_back({Host_, Result.Outcome_,
+                            Served ? std::nullopt : std::optional<Refusal>(Result.Refusal_), Time});
+  const bool Ended = Cancelled_ && !Served;
+  // A cancelled call says nothing about its host.
+  Owner_.Env_.Hosts_.finished(Host_, Time,
+                              Ended ? Answer::refused(Call_.Id_, Refusal::Cancelled) : Result);
+}
+
 void RoutedCall::retryOrFinish(const Answer &Result) {
+  endTry(Result);
   if (!mayRetry(Result)) {
     finish(Result);
     return;
   }
+  if (Result.Outcome_ == Outcome::Unknown)
+    MayHaveRun_ = Result.Refusal_;
+  LastRefusal_ = Result.Refusal_;
   // Each try has an id of its own, so that a late answer to an earlier one is not taken for this.
   const Ptr Keep(this);
   Owner_.Running_.erase(Call_.Id_);
@@ -179,8 +218,10 @@
   if (Done_)
     return;
   const Refusal Reason = isNeverSent() ? Refusal::DeadlineTooShort : Refusal::TimedOut;
+  const Answer Result = Answer::refused(Call_.Id_, Reason);
+  endTry(Result); // before the cancellation, which would hide the time-out from the balancer
   cancel();
-  finish(Answer::refused(Call_.Id_, Reason));
+  finish(Result);
 }
 
 void RoutedCall::cancel() {
@@ -193,18 +234,29 @@
     Owner_.Env_.Links_.send(Host_, MessageKind::Cancel, Call_.Id_);
 }
 
-void RoutedCall::finish(const Answer &Result) {
+void RoutedCall::finish(const Answer &Last) {
   if (Done_)
     return;
   const Ptr Keep(this);
+  endTry(Last);
+  Answer Result = Last;
+  // "Not run" holds for the whole request only if no earlier try may have run.
+  if (MayHaveRun_ && Result.Outcome_ == Outcome::NotRun) {
+    Result.Outcome_ = Outcome::Unknown;
+    Result.Refusal_ = *MayHaveRun_;
+  }
   Done_ = true;
   Timer_.cancel();
   QueryTimer_.cancel();
   if (Parent_)
     Parent_->AttemptsLeft_ += std::min(Result.UnusedAttempts_, Call_.Attempts_);
-  ++Owner_.Outcomes_[Result.Outcome_ == Outcome::Served
-                         ? "served"
-                         : std::string(refusalInfo(Result.Refusal_).Name_)];
+  Record_.Path_ = std::string(pathOf(Call_.Target_));
+  Record_.Unused_ = Result.UnusedAttempts_;
+  Record_.Outcome_ = Result.Outcome_;
+  if (Result.Outcome_ != Outcome::Served)
+    Record_.Refusal_ = Result.Refusal_;
+  Record_.Whole_ = now() - Started_;
+  Owner_.record(std::move(Record_));
   Owner_.finished(Call_.Id_);
   Exchange_->respond(toResponse(Result, Call_.Request_));
   Exchange_ = nullptr;
--- a/src/node/routed_call.h
+++ b/src/node/routed_call.h
@@ -41,6 +41,8 @@
   bool mayRetry(const Answer &Result) const;
   void retryOrFinish(const Answer &Result);
   void finish(const Answer &Result);
+  /// Reports the end of the present try to the balancer, once.
+  void endTry(const Answer &Result);
   Duration timeLeft() const;
 
   Router &Owner_;
@@ -56,8 +58,14 @@
   Incarnation HostRun_ = 0; ///< incarnation that was asked; 0 before the first query
   std::uint32_t LostQueries_ = 0;
   std::uint32_t Try_ = 0;
-  bool Cancelled_ = false;
   bool Done_ = false;
+  bool TryRuns_ = false;
+  bool Cancelled_ = false; ///< the caller has gone away
+  TimePoint TryStarted_;
+  TimePoint Started_;
+  RequestRecord Record_;
+  std::optional<Refusal> LastRefusal_; ///< why the last try ended
+  std::optional<Refusal> MayHaveRun_;  ///< end of an earlier try that may have run
 };
 
 } // namespace bronzestand::node
