Give each listener of a test fleet a port of its own

Cause: the kernel may name a port again once it is closed, so two listeners of one host could get the same port; 3 of 18 answers_test cases under load failed to start a node with "address already in use". Change: the harness remembers the ports that it has given out.

--- a/tests/integration/fleet.cpp
+++ b/tests/integration/fleet.cpp
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <fstream>
 #include <random>
+#include <set>
 #include <thread>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -23,12 +24,17 @@
 
 constexpr std::chrono::milliseconds StartLimit{10'000};
 
-/// Takes a free port of an address from the kernel.
+/// Takes a free port of an address from the kernel, which may name a port again once it is closed.
 Endpoint freeEndpoint(const std::string &Address) {
-  boost::asio::io_context Io;
-  boost::asio::ip::tcp::acceptor Acceptor(Io, {boost::asio::ip::make_address(Address), 0},
-                                          /*reuse_addr=*/true);
-  return {Address, Acceptor.local_endpoint().port()};
+  static std::set<std::string> Taken;
+  while (true) {
+    boost::asio::io_context Io;
+    boost::asio::ip::tcp::acceptor Acceptor(Io, {boost::asio::ip::make_address(Address), 0},
+                                            /*reuse_addr=*/true);
+    const Endpoint Found{Address, Acceptor.local_endpoint().port()};
+    if (Taken.insert(Found.str()).second)
+      return Found;
+  }
 }
 
 /// Gives each host of each test process an address of its own, so that ports do not collide.
