--- a/src/node/config_part.cpp
+++ b/src/node/config_part.cpp
@@ -141,6 +141,13 @@
     Keys_.eraseTeam(Name);
 }
 
+std::map<std::string, Revision> ConfigPart::inForce() const {
+  std::map<std::string, Revision> Result;
+  for (const auto &Item : Spread_.dump().Documents_)
+    Result[Item.Path_] = Item.Accepted_;
+  return Result;
+}
+
 json ConfigPart::dump() const {
   const ConfigSpreadDump Spread = Spread_.dump();
   json InForce = json::object();
--- a/src/node/config_part.h
+++ b/src/node/config_part.h
@@ -32,6 +32,8 @@
   /// Tells whether requests may be served on the documents: the start-up gate is open and there
   /// are documents.
   bool isReady() const { return Spread_.ready() && Spread_.store().newestAccepted() != 0; }
+  /// Revisions in force by path; a removed document keeps the revision of its removal.
+  std::map<std::string, Revision> inForce() const;
   void addChangeCallback(ChangeCallback Callback) { OnChange_.push_back(std::move(Callback)); }
 
   /// Sets who is live in a data centre; without it, all hosts on the list count.
--- a/src/node/executor.cpp
+++ b/src/node/executor.cpp
@@ -12,6 +12,8 @@
 constexpr std::size_t MaxBackendConnections = 300;
 // Used without Mechanism::Dispatcher, where nothing else bounds the calls in flight.
 constexpr std::size_t UncontrolledConnections = 4096;
+// A claimed call is read for this long after its deadline, because a late answer serves resends.
+constexpr Duration LateAnswerLimit = std::chrono::seconds(10);
 
 std::string toMilliseconds(Duration Time) {
   return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(Time).count());
@@ -27,21 +29,32 @@
 } // namespace
 
 Executor::Executor(boost::asio::io_context &Io, const Settings &Config, const ConfigPart &Documents,
-                   CallContexts &Contexts, CrashGuard &Guard, Metrics &Times,
+                   CallContexts &Contexts, ClaimsPart &Claims, CrashGuard &Guard, Metrics &Times,
                    const AdmissionPart &Admission, CallAttempts &Attempts)
-    : Config_(Config), Documents_(Documents), Contexts_(Contexts), Guard_(Guard), Times_(Times),
-      Admission_(Admission), Attempts_(Attempts), Log_(makeLogger("executor")), Queue_(Io, Config),
+    : Config_(Config), Documents_(Documents), Contexts_(Contexts), Claims_(Claims), Guard_(Guard),
+      Times_(Times), Admission_(Admission), Attempts_(Attempts), Log_(makeLogger("executor")),
+      Queue_(Io, Config),
       Backend_(Io, Config.BackendServer_,
                Config.isEnabled(Mechanism::Dispatcher) ? MaxBackendConnections
                                                        : UncontrolledConnections) {}
 
-void Executor::submit(const HostId &Caller, Call Request, Reply Done) {
+absl::Status Executor::start() {
+  Claims_.setRedirectHandler(
+      [this](const HostId &From, Call Request, Incarnation Owner, ClaimsPart::Reply Done) {
+        submit(From, std::move(Request), std::move(Done), Owner);
+      });
+  return absl::OkStatus();
+}
+
+void Executor::submit(const HostId &Caller, Call Request, Reply Done,
+                      std::optional<Incarnation> Redirected) {
   const CallKey Key(Caller, Request.Id_);
   if (Running_.count(Key) != 0)
     return; // a doubled message; the first one is answered
   RunningCall &Item = Running_[Key];
   Item.Call_ = std::move(Request);
   Item.Done_ = std::move(Done);
+  Item.Redirected_ = Redirected;
   Item.Submitted_ = now();
   Item.Deadline_ = Item.Submitted_ + Item.Call_.TimeLeft_;
   const RouteSpec *Route =
@@ -49,12 +62,15 @@
   if (Route != nullptr)
     Item.Route_ = routeName(*Route);
   const Call &Current = Item.Call_;
-  if (Draining_)
+  // A redirected call may ask for the answer of a first run here, also while this node drains.
+  if (Draining_ && !Redirected)
     finish(Key, Answer::refused(Current.Id_, Refusal::ShuttingDown));
   else if (Current.TimeLeft_ <= Duration::zero())
     finish(Key, Answer::refused(Current.Id_, Refusal::DeadlineTooShort));
   else if (!hasValidKey(Current.Team_, Current.KeyId_))
     finish(Key, Answer::refused(Current.Id_, Refusal::KeyUnknown));
+  else if (Claims_.covers(Current))
+    claim(Key);
   else
     enqueue(Key);
 }
@@ -79,8 +95,10 @@
 }
 
 void Executor::onReady(const CallKey &Key, std::optional<Refusal> Reason) {
-  RunningCall &Item = Running_.at(Key);
-  Item.Dispatched_ = !Reason;
+  const auto Found = Running_.find(Key);
+  if (Found == Running_.end())
+    return; // ended while it was queued
+  Found->second.Dispatched_ = !Reason;
   if (Reason)
     finish(Key, Answer::refused(Key.second, *Reason));
   else
@@ -93,6 +111,22 @@
       Refusal::KeyUnknown);
 }
 
+void Executor::claim(const CallKey &Key) {
+  RunningCall &Item = Running_.at(Key);
+  Claims_.begin(Item.Call_, Item.Redirected_, [this, Key](ClaimId Id, std::optional<Answer> Given) {
+    const auto Found = Running_.find(Key);
+    if (Given) {
+      finish(Key, *std::move(Given));
+    } else if (Found == Running_.end()) {
+      // Cancelled meanwhile; the refusal also answers resends that wait for this run.
+      Claims_.finished(Id, Answer::refused(Key.second, Refusal::ClaimUnavailable));
+    } else {
+      Found->second.Claim_ = Id;
+      enqueue(Key);
+    }
+  });
+}
+
 void Executor::dispatch(const CallKey &Key) {
   RunningCall &Item = Running_.at(Key);
   Guard_.enter(Key, Item.Call_, [this, Key](std::optional<Refusal> Reason) {
@@ -139,10 +173,15 @@
   Set("Bronzestand-Class", Current.Class_.str());
   Set("Bronzestand-Deadline-Ms", toMilliseconds(Current.TimeLeft_));
   Set("Idempotency-Key", Current.IdempotencyKey_);
-  Item.Request_ = Backend_.send(std::move(Request), Current.TimeLeft_,
-                                [this, Key](HttpResult Result, HttpResponse Response) {
-                                  onBackendResult(Key, Result, std::move(Response));
-                                });
+  const ClaimId Claim = Item.Claim_;
+  const Duration Limit = Claim == 0 ? Current.TimeLeft_ : Current.TimeLeft_ + LateAnswerLimit;
+  // The claim is checked again at the write, because a connection may take time to open.
+  Item.Request_ = Backend_.send(
+      std::move(Request), Limit,
+      [this, Key](HttpResult Result, HttpResponse Response) {
+        onBackendResult(Key, Result, std::move(Response));
+      },
+      Claim == 0 ? HttpClient::MayWrite() : [this, Claim] { return Claims_.stillValid(Claim); });
 }
 
 void Executor::onBackendResult(const CallKey &Key, HttpResult Result, HttpResponse Response) {
@@ -203,21 +242,44 @@
   ++(Result.Outcome_ == Outcome::Served   ? Served_
      : Result.Outcome_ == Outcome::NotRun ? Refused_
                                           : Unknown_);
+  if (Item.Claim_ != 0)
+    Claims_.finished(Item.Claim_, Result);
   Item.Done_(std::move(Result));
   if (Item.Dispatched_)
     Queue_.finished(Item.Number_, now() - Item.Sent_, Item.Result_);
 }
 
+void Executor::abort() {
+  std::vector<CallKey> Keys;
+  for (const auto &[Key, Item] : Running_)
+    Keys.push_back(Key);
+  for (const CallKey &Key : Keys) {
+    const auto Found = Running_.find(Key);
+    if (Found == Running_.end())
+      continue;
+    const RunningCall &Item = Found->second;
+    const bool MayRun = !Item.Token_.empty() || (Claims_.covers(Item.Call_) && Item.Claim_ == 0);
+    finish(Key,
+           Answer::refused(Key.second, MayRun ? Refusal::ConnectionLost : Refusal::ShuttingDown));
+  }
+}
+
 void Executor::cancel(const HostId &Caller, CallId Id) {
   const auto Found = Running_.find({Caller, Id});
   if (Found == Running_.end())
     return;
-  if (!Found->second.Dispatched_ && !Queue_.cancel(Found->second.Number_))
-    return;                         // is leaving the queue in this moment
-  if (Found->second.Token_.empty()) // queued, or waits to run alone
+  const RunningCall &Item = Found->second;
+  if (Claims_.covers(Item.Call_) && Item.Claim_ == 0) {
+    // Another executor may run the call by a redirect, so an undecided claim proves nothing.
+    finish(CallKey(Caller, Id), Answer::refused(Id, Refusal::TimedOut));
+    return;
+  }
+  if (!Item.Dispatched_ && !Queue_.cancel(Item.Number_))
+    return;                // is leaving the queue in this moment
+  if (Item.Token_.empty()) // queued, or waits to run alone
     finish(CallKey(Caller, Id), Answer::refused(Id, Refusal::Cancelled));
-  else
-    Backend_.cancel(Found->second.Request_);
+  else if (Item.Claim_ == 0) // a claimed call runs to its end, because its answer serves resends
+    Backend_.cancel(Item.Request_);
 }
 
 nlohmann::json Executor::dump() const {
--- a/src/node/executor.h
+++ b/src/node/executor.h
@@ -7,6 +7,7 @@
 
 #include "node/admission_part.h"
 #include "node/call_contexts.h"
+#include "node/claims_part.h"
 #include "node/config_part.h"
 #include "node/crash_guard.h"
 #include "node/dispatch_queue.h"
@@ -22,22 +23,26 @@
   using Reply = std::function<void(Answer Result)>;
 
   Executor(boost::asio::io_context &Io, const Settings &Config, const ConfigPart &Documents,
-           CallContexts &Contexts, CrashGuard &Guard, Metrics &Times,
+           CallContexts &Contexts, ClaimsPart &Claims, CrashGuard &Guard, Metrics &Times,
            const AdmissionPart &Admission, CallAttempts &Attempts);
 
   /// Takes a call. Reply is called once, unless the call is cancelled before.
   /// \param Caller node that sent the call; with the call's id it names the call.
-  void submit(const HostId &Caller, Call Request, Reply Done);
+  /// \param Redirected incarnation in the redirect of another executor that brought the call here.
+  void submit(const HostId &Caller, Call Request, Reply Done,
+              std::optional<Incarnation> Redirected = std::nullopt);
   /// Cancels a call that nobody needs any more, queued or running. It is still answered.
   void cancel(const HostId &Caller, CallId Id);
   /// Refuses queued calls whose key is no longer valid; call it after a change of the documents.
   void onKeysChanged();
   /// Refuses new calls from now on.
   void drain() { Draining_ = true; }
+  /// Ends all running calls at once with typed outcomes.
+  void abort();
   std::size_t running() const { return Running_.size(); }
 
   std::string_view name() const override { return "executor"; }
-  absl::Status start() override { return absl::OkStatus(); }
+  absl::Status start() override;
   void stop() override { Queue_.stop(); }
   void tick(TimePoint Now) override { Queue_.tick(Now); }
   nlohmann::json dump() const override;
@@ -57,11 +62,14 @@
     CallResult Result_ = CallResult::Failed;
     std::string Token_; ///< empty until the call is sent to the backend server
     HttpClient::RequestNumber Request_ = 0;
+    std::optional<Incarnation> Redirected_;
+    ClaimId Claim_ = 0; ///< claim by which the call may be dispatched; 0 without one
   };
 
   bool hasValidKey(const TeamId &Team, const std::string &KeyId) const;
   void enqueue(const CallKey &Key);
   void onReady(const CallKey &Key, std::optional<Refusal> Reason);
+  void claim(const CallKey &Key);
   void dispatch(const CallKey &Key);
   void run(const CallKey &Key);
   void onBackendResult(const CallKey &Key, HttpResult Result, HttpResponse Response);
@@ -70,6 +78,7 @@
   const Settings &Config_;
   const ConfigPart &Documents_;
   CallContexts &Contexts_;
+  ClaimsPart &Claims_;
   CrashGuard &Guard_;
   Metrics &Times_;
   const AdmissionPart &Admission_;
--- a/src/node/host_choice.cpp
+++ b/src/node/host_choice.cpp
@@ -81,8 +81,8 @@
   return Host == nullptr ? HostId() : *Host;
 }
 
-// Until claims are bound, resends of an idempotency key go to the same host while the list stays
-// the same.
+// Resends of an idempotency key go to the same host while the list stays the same, so that they
+// rarely need a redirect.
 HostId HostChoice::chooseByKey(const Call &Request, const std::set<HostId> &Excluded) const {
   std::vector<HostId> Candidates;
   for (const auto &[Name, List] : Documents_.catalogue().hostLists())
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -7,6 +7,7 @@
 #include "node/admission_part.h"
 #include "node/call_attempts.h"
 #include "node/call_contexts.h"
+#include "node/claims_part.h"
 #include "node/clock.h"
 #include "node/config_part.h"
 #include "node/crash_guard.h"
@@ -19,6 +20,7 @@
 #include "node/metrics.h"
 #include "node/peer_links.h"
 #include "node/platform_reader.h"
+#include "node/remote_calls.h"
 #include "node/router.h"
 #include "node/supervisor.h"
 
@@ -26,6 +28,8 @@
 namespace {
 
 constexpr Duration TickInterval = std::chrono::milliseconds(100);
+/// Time in which answers are written to callers and peers before an immediate stop.
+constexpr Duration AbortTime = std::chrono::milliseconds(200);
 constexpr std::string_view RequestsPath = "/requests/";
 constexpr std::string_view JsonType = "application/json";
 
@@ -46,10 +50,11 @@
         Timer_(Io), Links_(Io, Config_, Run_), Reader_(Io, Config_),
         Documents_(Reader_, Links_, Config_, Run_), Members_(Links_, Documents_, Config_, Run_),
         Metrics_(Documents_), Recent_(Config_.Host_), Guard_(Io, Config_, Documents_, Links_),
-        Admission_(Config_), Attempts_(Config_),
-        Executor_(Io, Config_, Documents_, Contexts_, Guard_, Metrics_, Admission_, Attempts_),
-        Hosts_(Config_, Documents_, Members_, Run_), LinkBudget_(Config_, Documents_, Links_),
-        Limits_(Io, Config_, Documents_, Links_, Run_),
+        Claims_(Config_, Documents_, Links_, Run_), Admission_(Config_), Attempts_(Config_),
+        Executor_(Io, Config_, Documents_, Contexts_, Claims_, Guard_, Metrics_, Admission_,
+                  Attempts_),
+        RemoteCalls_(Executor_, Links_, Run_), Hosts_(Config_, Documents_, Members_, Run_),
+        LinkBudget_(Config_, Documents_, Links_), Limits_(Io, Config_, Documents_, Links_, Run_),
         Router_({Io, Config_, Documents_, Contexts_, Links_, Executor_, Limits_, Members_, Hosts_,
                  LinkBudget_, Metrics_, Recent_, Admission_, Attempts_},
                 Run_),
@@ -93,13 +98,15 @@
 
   void shutdown() {
     if (Draining_) {
-      stopAll();
+      abort();
       return;
     }
     Draining_ = true;
     DrainEnd_ = now() + Config_.DrainLimit_;
     Log_->info("shut down, {} requests run", Router_.running());
     Members_.leave();
+    Hosts_.observe(Config_.Host_, Run_, true);
+    Claims_.leave();
     CallerServer_.drain();
     Router_.drain();
     Executor_.drain();
@@ -107,8 +114,8 @@
 
 private:
   std::vector<Part *> children() {
-    return {&Members_, &Links_,  &Reader_,    &Documents_, &LinkBudget_, &Guard_,
-            &Metrics_, &Limits_, &Admission_, &Executor_,  &Router_};
+    return {&Members_, &Links_,  &Reader_,    &Documents_, &LinkBudget_,  &Guard_, &Metrics_,
+            &Limits_,  &Claims_, &Admission_, &Executor_,  &RemoteCalls_, &Router_};
   }
 
   std::optional<Endpoint> addressOf(const HostId &Host) const {
@@ -124,22 +131,38 @@
       if (Failure)
         return;
       Supervisor_.tick(now());
-      if (Draining_ && (isDrained() || now() >= DrainEnd_)) {
-        // Other nodes lease through this one until its last request has ended. The notices need one
-        // more tick to be written.
-        if (std::exchange(LimitsLeft_, true)) {
-          stopAll();
-          return;
-        }
+      if (Draining_ && now() >= DrainEnd_) {
+        abort();
+        return;
+      }
+      // Answers to other nodes may still be in a send buffer when the last call ends.
+      DrainedTicks_ = Draining_ && isDrained() ? DrainedTicks_ + 1 : 0;
+      // Other nodes lease through this one until its last request has ended. The notices need one
+      // more tick to be written.
+      if (DrainedTicks_ == 1)
         Limits_.leaving(now());
+      if (DrainedTicks_ >= 2) {
+        stopAll();
+        return;
       }
       scheduleTick();
     });
   }
 
   bool isDrained() const {
-    return Router_.running() == 0 && Executor_.running() == 0 &&
-           CallerServer_.runningRequests() == 0;
+    return Router_.running() == 0 && Executor_.running() == 0 && CallerServer_.connections() == 0 &&
+           Claims_.isHandedOver(now());
+  }
+
+  /// Ends running requests with typed outcomes, and stops once the answers are written.
+  void abort() {
+    Router_.abort();
+    Executor_.abort();
+    Timer_.expires_after(AbortTime);
+    Timer_.async_wait([this](const boost::system::error_code &Failure) {
+      if (!Failure)
+        stopAll();
+    });
   }
 
   void stopAll() {
@@ -202,9 +225,11 @@
   Metrics Metrics_;
   RecentRequests Recent_;
   CrashGuard Guard_;
+  ClaimsPart Claims_;
   AdmissionPart Admission_;
   CallAttempts Attempts_;
   Executor Executor_;
+  RemoteCalls RemoteCalls_;
   HostChoice Hosts_;
   LinkPart LinkBudget_;
   LimitsPart Limits_;
@@ -213,8 +238,8 @@
   HttpServer EgressServer_;
   HttpServer OperatorServer_;
   bool Draining_ = false;
-  bool LimitsLeft_ = false;
   TimePoint DrainEnd_;
+  unsigned DrainedTicks_ = 0;
 };
 
 Node::Node(boost::asio::io_context &Io, Settings Config)
--- a/src/node/peer_links.cpp
+++ b/src/node/peer_links.cpp
@@ -38,6 +38,7 @@
   MessageKind Kind_;
   json Body_;
   PeerLinks::SentCallback OnSent_;
+  PeerLinks::WantedCheck Wanted_;
 };
 
 struct Link {
@@ -97,7 +98,8 @@
       closeLink(Id, "node stops");
   }
 
-  void send(const HostId &To, MessageKind Kind, json Body, SentCallback OnSent) {
+  void send(const HostId &To, MessageKind Kind, json Body, SentCallback OnSent,
+            WantedCheck Wanted) {
     if (Link *Open = openLinkTo(To)) {
       if (Kind != MessageKind::Heartbeat)
         Open->LastUsed_ = now();
@@ -113,7 +115,7 @@
         OnSent(0);
       return;
     }
-    Waiting.push_back({Kind, std::move(Body), std::move(OnSent)});
+    Waiting.push_back({Kind, std::move(Body), std::move(OnSent), std::move(Wanted)});
     if (Waiting.size() == 1 && !openFor(To))
       dropWaiting(To);
   }
@@ -390,8 +392,13 @@
       return;
     auto Messages = std::move(Found->second);
     Waiting_.erase(Found);
-    for (WaitingMessage &Message : Messages)
-      send(Host, Message.Kind_, std::move(Message.Body_), std::move(Message.OnSent_));
+    for (WaitingMessage &Message : Messages) {
+      if (!Message.Wanted_ || Message.Wanted_())
+        send(Host, Message.Kind_, std::move(Message.Body_), std::move(Message.OnSent_),
+             std::move(Message.Wanted_));
+      else if (Message.OnSent_)
+        Message.OnSent_(0);
+    }
   }
 
   void dropWaiting(const HostId &Host) {
@@ -515,8 +522,9 @@
 }
 void PeerLinks::setEpoch(std::uint64_t Epoch) { Impl_->Epoch_ = Epoch; }
 void PeerLinks::setLeaving() { Impl_->Leaving_ = true; }
-void PeerLinks::send(const HostId &To, MessageKind Kind, json Body, SentCallback OnSent) {
-  Impl_->send(To, Kind, std::move(Body), std::move(OnSent));
+void PeerLinks::send(const HostId &To, MessageKind Kind, json Body, SentCallback OnSent,
+                     WantedCheck Wanted) {
+  Impl_->send(To, Kind, std::move(Body), std::move(OnSent), std::move(Wanted));
 }
 void PeerLinks::connect(const Endpoint &Address) { Impl_->connect(Address); }
 void PeerLinks::open(const HostId &Host) { Impl_->open(Host); }
--- a/src/node/routed_call.cpp
+++ b/src/node/routed_call.cpp
@@ -14,6 +14,11 @@
   return Result.Outcome_ == Outcome::Served && Result.HttpStatus_ < 500 ? CallEnd::Good
                                                                         : CallEnd::Failed;
 }
+/// A query or its reply may be lost with a second link, so it is repeated until the answer is here.
+constexpr std::chrono::milliseconds QueryInterval{1000};
+/// A host that cannot be reached for this many queries in a row leaves the outcome unknown.
+constexpr std::uint32_t MaxLostQueries = 3;
+constexpr std::chrono::milliseconds LostQueryInterval{300};
 
 HttpResponse toResponse(const Answer &Result, const RequestId &Request) {
   if (Result.Outcome_ != Outcome::Served)
@@ -35,7 +40,8 @@
       Parent_(std::move(Parent)), Route_(std::move(Route)),
       Attempts_(Parent_ ? Parent_->Attempts_
                         : Owner.Env_.Attempts_.account("entry " + Route_, Call_.Attempts_)),
-      Timer_(Owner.Env_.Io_), Deadline_(now() + Call_.TimeLeft_), Started_(now()) {
+      Timer_(Owner.Env_.Io_), QueryTimer_(Owner.Env_.Io_), Deadline_(now() + Call_.TimeLeft_),
+      Started_(now()) {
   Record_.Request_ = Call_.Request_;
   Record_.Team_ = Call_.Team_;
   Record_.Class_ = Call_.Class_;
@@ -82,6 +88,8 @@
   ++Try_;
   Ended_ = false;
   Link_ = 0;
+  HostRun_ = 0;
+  LostQueries_ = 0;
   Tried_.insert(Host_);
   Call_.TimeLeft_ = timeLeft();
   if (Host_ != Owner_.Env_.Config_.Host_) {
@@ -99,8 +107,13 @@
     retryOrFinish(Result);
     return;
   }
-  Owner_.Env_.Links_.send(Host_, MessageKind::Call, Call_,
-                          [Self = Ptr(this), Try = Try_](LinkId Link) { Self->onSent(Try, Link); });
+  // A call that was reported as not run must not leave the node when a link opens later.
+  Owner_.Env_.Links_.send(
+      Host_, MessageKind::Call, Call_,
+      [Self = Ptr(this), Try = Try_](LinkId Link) { Self->onSent(Try, Link); },
+      [Self = Ptr(this), Try = Try_] {
+        return !Self->Done_ && !Self->Cancelled_ && Try == Self->Try_;
+      });
 }
 
 void RoutedCall::onSent(std::uint32_t Try, LinkId Link) {
@@ -132,9 +145,49 @@
   }
 }
 
-void RoutedCall::onLinkDown(const HostId &Host, LinkId Link) {
-  if (!Done_ && Host == Host_ && Link == Link_)
-    retryOrFinish(Answer::refused(Call_.Id_, Refusal::ConnectionLost));
+void RoutedCall::onLinkDown(const HostId &Host) {
+  // The answer may come over another link to the host than the one that carried the call.
+  if (Done_ || Host != Host_ || Link_ == 0 || HostRun_ != 0)
+    return;
+  const Answer Lost = Answer::refused(Call_.Id_, Refusal::ConnectionLost);
+  const auto Run = Owner_.LinkRuns_.find(Link_);
+  const bool Repeatable = Call_.Idempotent_ && !Call_.AtMostOnce_;
+  if (Repeatable || Run == Owner_.LinkRuns_.end()) {
+    retryOrFinish(Lost);
+    return;
+  }
+  HostRun_ = Run->second;
+  query();
+}
+
+void RoutedCall::query() {
+  QueryTimer_.expires_after(QueryInterval);
+  QueryTimer_.async_wait([Self = Ptr(this)](const boost::system::error_code &Failure) {
+    if (!Failure && !Self->Done_ && Self->HostRun_ != 0)
+      Self->query();
+  });
+  const CallId Id = Call_.Id_;
+  Owner_.Env_.Links_.send(Host_, MessageKind::CallQuery, nlohmann::json::array({Id, HostRun_}),
+                          [Self = Ptr(this), Id](LinkId Link) {
+                            if (Link == 0)
+                              Self->onQueryLost(Id);
+                            else
+                              Self->LostQueries_ = 0;
+                          });
+}
+
+void RoutedCall::onQueryLost(CallId Id) {
+  if (Done_ || Id != Call_.Id_)
+    return;
+  if (++LostQueries_ >= MaxLostQueries) {
+    retryOrFinish(Answer::refused(Id, Refusal::ConnectionLost));
+    return;
+  }
+  QueryTimer_.expires_after(LostQueryInterval);
+  QueryTimer_.async_wait([Self = Ptr(this), Id](const boost::system::error_code &Failure) {
+    if (!Failure && !Self->Done_ && Id == Self->Call_.Id_)
+      Self->query();
+  });
 }
 
 bool RoutedCall::mayRetry(const Answer &Result) const {
@@ -183,13 +236,23 @@
   send();
 }
 
+bool RoutedCall::isNeverSent() const {
+  // A second try may follow a first one whose outcome is unknown.
+  return Host_ != Owner_.Env_.Config_.Host_ && Link_ == 0 && Try_ <= 1;
+}
+
+void RoutedCall::abort() {
+  const Refusal Reason = isNeverSent() ? Refusal::ShuttingDown : Refusal::ConnectionLost;
+  cancel();
+  finish(Answer::refused(Call_.Id_, Reason));
+}
+
 void RoutedCall::onDeadline() {
   if (Done_)
     return;
   Cancelled_ = true;
   Expired_ = true;
-  const bool NeverSent = Host_ != Owner_.Env_.Config_.Host_ && Link_ == 0 && Try_ <= 1;
-  if (NeverSent) {
+  if (isNeverSent()) {
     finish(Answer::refused(Call_.Id_, Refusal::DeadlineTooShort));
     return;
   }
@@ -227,6 +290,7 @@
   }
   Done_ = true;
   Timer_.cancel();
+  QueryTimer_.cancel();
   Record_.Path_ = std::string(pathOf(Call_.Target_));
   Record_.Unused_ = Result.UnusedAttempts_;
   Record_.Outcome_ = Result.Outcome_;
--- a/src/node/router.cpp
+++ b/src/node/router.cpp
@@ -30,16 +30,12 @@
 } // namespace
 
 Router::Router(const Parts &Environment, Incarnation Run)
-    : Env_(Environment), Run_(Run), Log_(makeLogger("router")) {}
+    : Env_(Environment), Run_(Run), Log_(makeLogger("router")),
+      // Ids start at the incarnation, so that no late answer matches a call of a later run.
+      LastCall_(Run) {}
 Router::~Router() = default;
 
 absl::Status Router::start() {
-  Env_.Links_.setHandler(MessageKind::Call, [this](const Peer &From, const nlohmann::json &Body) {
-    Env_.Executor_.submit(From.Host_, Body.get<Call>(),
-                          [this, Host = From.Host_](const Answer &Result) {
-                            Env_.Links_.send(Host, MessageKind::Answer, Result);
-                          });
-  });
   Env_.Links_.setHandler(MessageKind::Answer, [this](const Peer &From, const nlohmann::json &Body) {
     const auto Result = Body.get<Answer>();
     if (Result.Leaving_)
@@ -47,15 +43,22 @@
     Env_.Hosts_.observe(From.Host_, From.Incarnation_, Result.Leaving_);
     onAnswer(From.Host_, Result);
   });
-  Env_.Links_.setHandler(MessageKind::Cancel, [this](const Peer &From, const nlohmann::json &Body) {
-    Env_.Executor_.cancel(From.Host_, Body.get<CallId>());
+  Env_.Links_.addLinkUp([this](const Peer &Other) {
+    LinkRuns_[Other.Link_] = Other.Incarnation_;
+    Env_.Hosts_.observe(Other.Host_, Other.Incarnation_, false);
   });
-  Env_.Links_.addLinkUp(
-      [this](const Peer &Other) { Env_.Hosts_.observe(Other.Host_, Other.Incarnation_, false); });
   Env_.Links_.addLinkDown([this](const HostId &Host, LinkId Link) { onLinkDown(Host, Link); });
   return absl::OkStatus();
 }
 
+void Router::abort() {
+  std::vector<RoutedCallPtr> Items;
+  for (const auto &[Id, Item] : Running_)
+    Items.push_back(Item);
+  for (const RoutedCallPtr &Item : Items)
+    Item->abort();
+}
+
 void Router::stop() { Running_.clear(); }
 
 void Router::handleCaller(HttpRequest Request, const HttpExchangePtr &Exchange) {
@@ -209,7 +212,8 @@
   for (const auto &[Id, Item] : Running_)
     Items.push_back(Item);
   for (const RoutedCallPtr &Item : Items)
-    Item->onLinkDown(Host, Link);
+    Item->onLinkDown(Host);
+  LinkRuns_.erase(Link);
 }
 
 nlohmann::json Router::dump() const {
--- a/src/node/router.h
+++ b/src/node/router.h
@@ -55,6 +55,8 @@
   void handleEgress(HttpRequest Request, const HttpExchangePtr &Exchange);
   /// Refuses new requests of callers from now on; calls of running requests go on.
   void drain() { Draining_ = true; }
+  /// Ends all running requests at once with typed outcomes.
+  void abort();
   /// Requests that run or wait for a lease of their team.
   std::size_t running() const { return Running_.size() + Held_; }
 
@@ -89,6 +91,7 @@
   CallId LastCall_ = 0;
   std::map<CallId, RoutedCallPtr> Running_;
   std::size_t Held_ = 0;
+  std::map<LinkId, Incarnation> LinkRuns_; ///< incarnation at the other end of each open link
   std::map<std::string, std::uint64_t> Outcomes_; ///< count by refusal name or "served"
   bool Draining_ = false;
 };
--- a/tests/integration/fleet.cpp
+++ b/tests/integration/fleet.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <atomic>
 #include <fstream>
+#include <random>
 #include <set>
 #include <thread>
 
@@ -12,6 +13,7 @@
 #include <unistd.h>
 
 #include "bronzestand/key_table.h"
+#include "node/clock.h"
 
 namespace bronzestand::test {
 namespace {
@@ -95,8 +97,16 @@
   return true;
 }
 
-Fleet::Fleet(std::vector<HostOptions> Hosts, PeerPath Path, std::string Disabled)
-    : Hosts_(std::move(Hosts)), Disabled_(std::move(Disabled)) {
+std::string uuidV7() {
+  static std::mt19937_64 Random(std::random_device{}());
+  const auto Ms = node::wallMicroseconds() / 1000;
+  return fmt::format("{:08x}-{:04x}-7{:03x}-8{:03x}-{:012x}", Ms >> 16U, Ms & 0xffffU,
+                     Random() & 0xfffU, Random() & 0xfffU, Random() & 0xffffffffffffU);
+}
+
+Fleet::Fleet(std::vector<HostOptions> Hosts, PeerPath Path, std::string Disabled,
+             std::string Claims)
+    : Hosts_(std::move(Hosts)), Disabled_(std::move(Disabled)), Claims_(std::move(Claims)) {
   char Name[] = "/tmp/bronzestand-fleet-XXXXXX";
   Directory_ = ::mkdtemp(Name);
   const std::string Shared = nextAddress();
@@ -149,11 +159,12 @@
                      "caller_listen: {}\negress_listen: {}\npeer_listen: {}\n"
                      "operator_listen: {}\nbackend_server: {}\nplatform: [\"{}\"]\n"
                      "peer_secret: integration-test-secret\nlog: {{level: info}}\ndisable: [{}]\n"
+                     "claims: {{{}}}\n"
                      "peers:\n{}",
                      Host.Id_, Host.DataCentre_, Host.Region_, Host.Service_, Own.Caller_.str(),
                      Own.Egress_.str(), Own.Peer_.str(), Own.Operator_.str(), Own.Backend_.str(),
                      (Host.ReachesPlatform_ ? PlatformAddress_ : ClosedAddress_).str(), Disabled_,
-                     Peers);
+                     Claims_, Peers);
 }
 
 void Fleet::startNode(const std::string &Host) {
@@ -181,8 +192,7 @@
   Arguments.insert(Arguments.end(), Given.BackendOptions_.begin(), Given.BackendOptions_.end());
   if (Backends_[Host])
     Ended_.push_back(std::move(Backends_[Host]));
-  Backends_[Host] =
-      std::make_unique<Process>("backend " + Host, "tests/standin_backend", Arguments);
+  Backends_[Host] = std::make_unique<Process>("backend " + Host, Given.BackendProgram_, Arguments);
   REQUIRE(waitFor([&] { return backendStats(Host).is_object(); }, StartLimit));
 }
 
@@ -200,6 +210,8 @@
 }
 
 void Fleet::put(const std::string &Path, const std::string &Text) {
+  if (Text.find("at_most_once: true") != std::string::npos)
+    AwaitClaims_ = Disabled_.find("claims") == std::string::npos;
   const HttpReply Reply =
       httpCall(PlatformAddress_, makeRequest("PUT", "/control/value?path=" + Path, Text));
   LastRevision_ = parseBody(Reply).at("revision");
@@ -264,9 +276,11 @@
           if (!Running->isRunning())
             continue;
           const json State = state(Host);
-          if (!State.is_object() || State["config"]["revision"].get<Revision>() < LastRevision_)
+          if (!State.is_object() || State["config"]["revision"].get<Revision>() < LastRevision_ ||
+              (AwaitClaims_ && !State["claims"]["accepts_all_keys"].get<bool>()))
             return false;
         }
+        AwaitClaims_ = false;
         return true;
       },
       Limit);
@@ -305,6 +319,11 @@
            makeRequest("POST", fmt::format("/control/rule?from={}&to={}&mode={}", From, To, Mode)));
 }
 
+void Fleet::freezeLinks(const std::string &From, const std::string &To) {
+  httpCall(ProxyControl_,
+           makeRequest("POST", fmt::format("/control/freeze?from={}&to={}", From, To)));
+}
+
 void Fleet::clearFaults() { httpCall(ProxyControl_, makeRequest("POST", "/control/clear")); }
 
 HttpReply Fleet::call(const std::string &Host, const std::string &Method, const std::string &Target,
--- a/tests/integration/fleet.h
+++ b/tests/integration/fleet.h
@@ -25,6 +25,7 @@
   std::string ServiceTimeUs_ = "1000";
   std::vector<std::string> BackendOptions_ = {};
   bool ReachesPlatform_ = true;
+  std::string BackendProgram_ = "tests/standin_backend";
 };
 
 struct HttpReply {
@@ -49,6 +50,9 @@
 /// Polls a condition; returns whether it came true in time.
 bool waitFor(const std::function<bool()> &Condition, std::chrono::milliseconds Limit);
 
+/// Makes an idempotency key with the present time in it (UUIDv7).
+std::string uuidV7();
+
 /// A fleet of real processes on loopback addresses: platform, fault proxy, nodes, backend servers.
 /// Links between nodes pass the fault proxy.
 class Fleet {
@@ -59,8 +63,11 @@
 
   /// \param Path Direct leaves the fault proxy out of the links; used for measurements.
   /// \param Disabled mechanisms that all nodes switch off, separated by commas.
+  /// \param Claims the claims setting of all nodes; the default accepts every key after 4 s.
   explicit Fleet(std::vector<HostOptions> Hosts, PeerPath Path = PeerPath::ThroughProxy,
-                 std::string Disabled = {});
+                 std::string Disabled = {},
+                 std::string Claims = "lifetime_ms: 1000, dispatch_window_ms: 1000, "
+                                      "grace_ms: 2000, skew_ms: 50, probe_every_ms: 200");
   ~Fleet();
   Fleet(const Fleet &) = delete;
   Fleet &operator=(const Fleet &) = delete;
@@ -83,8 +90,9 @@
 
   /// Revision of the last change that was published.
   Revision lastRevision() const { return LastRevision_; }
-  /// Waits until all running nodes have the newest revision of the platform in force and, for up
-  /// to 2 s, until all of them may use their share of the team limits.
+  /// Waits until all running nodes have the newest revision of the platform in force, for up to 2 s
+  /// until all of them may use their share of the team limits and, the first time that a class is
+  /// at most once, until they accept all idempotency keys.
   bool waitUntilInForce(std::chrono::milliseconds Limit = std::chrono::seconds(10));
 
   void startNode(const std::string &Host);
@@ -102,6 +110,8 @@
   /// Sets what happens to bytes between nodes: pass, hold or cut. "*" stands for every host.
   void setFault(const std::string &From, const std::string &To, const std::string &Mode);
   void clearFaults();
+  /// Makes the open links between two hosts silent for good, in one direction.
+  void freezeLinks(const std::string &From, const std::string &To);
 
   /// Sends a request of a caller with the key of a team; no key if the team is empty.
   HttpReply call(const std::string &Host, const std::string &Method, const std::string &Target,
@@ -128,6 +138,8 @@
   node::Endpoint ProxyControl_;
   std::string Directory_;
   std::string Disabled_;
+  std::string Claims_;
+  bool AwaitClaims_ = false;
   std::unique_ptr<Process> Platform_;
   std::unique_ptr<Process> Proxy_;
   std::map<std::string, std::unique_ptr<Process>> Nodes_;
