Return owners' loans when a broker leaves or is replaced

Cause: an owner lends to one broker at a time, for 10 s. When the broker left, its host kept these loans until their end, and every node went on asking it, so no next broker got the rights.

A leaving broker, and one that another host replaces, now returns each owner's loan with the time after which everything granted out of it has ended. Owners that the present grants do not need get their right back at once. A return names the last accepted loan, or is final for a run that grants nothing more, so a lost, doubled or late return never ends a loan too early. Receivers of a leave notice place brokers without that host, ask the next one at once, and place it again 3 s after they first heard of its new run.

--- a/include/bronzestand/team_limits.h
+++ b/include/bronzestand/team_limits.h
@@ -51,6 +51,9 @@
   Duration ColdStartGrace_ = std::chrono::seconds(20);
   /// Join requests per second, so that joining 22,000 hosts stays inside the control budget.
   std::uint32_t JoinsPerSecond_ = 40;
+  /// A host that left and started again is no broker for this time, because its pool rests for
+  /// twice the longest lease, and another broker serves its data centre until then.
+  Duration BrokerReturn_ = std::chrono::seconds(3);
   /// Fraction of a term that a borrower uses, for drift between two clocks.
   double BorrowerPart_ = 0.95;
 };
@@ -84,6 +87,15 @@
   double Fraction_ = 0;
   Duration Term_{};
 };
+/// Ends a loan of an owner early: the sender grants nothing more out of it, and what it granted has
+/// ended once the given time has passed.
+struct LendReturn {
+  std::uint32_t Shard_ = 0;
+  Incarnation Incarnation_ = 0;
+  TimePoint Stamp_;    ///< of the last accepted loan
+  bool Final_ = false; ///< the sender's run grants nothing more, whatever loan reaches it
+  Duration GrantsEnd_{};
+};
 /// What a loan between a broker and one borrower is for; the two sides keep each kind apart.
 enum class LoanKind : std::uint8_t { Lease, Bulk, SpotBulk };
 
@@ -131,7 +143,7 @@
 };
 
 using LimitMessage = std::variant<JoinRequest, JoinAnswer, LendRequest, Lend, LeaseRequest,
-                                  LeaseGrant, LeaseReturn, LeaveNotice>;
+                                  LeaseGrant, LeaseReturn, LeaveNotice, LendReturn>;
 
 struct LimitSend {
   HostId To_;
@@ -175,6 +187,8 @@
   double exposure(TimePoint Now);
   double rateExposure(TimePoint Now);
   TimePoint end() const;
+  /// Ends all loans at the given time at the latest.
+  void shorten(TimePoint End);
   void clear() { Loans_.clear(); }
   Incarnation Borrower_ = 0;
   TimePoint LastStamp_{};
@@ -254,11 +268,17 @@
   LoanRecord Lent_;
   // Broker role.
   std::map<HostId, Holding> Owners_;
-  TimePoint NextAsk_{};
+  TimePoint NextAsk_{}, BrokerSince_{};
   HostId LocalBroker_;
   std::vector<HostId> OtherBrokers_;
 };
 
+/// A run of a host that has left.
+struct LeftRun {
+  Incarnation Run_ = 0;
+  TimePoint BrokerFrom_ = TimePoint::max(); ///< when a later run may be a broker
+};
+
 } // namespace detail
 
 /// Enforces each team's rate and burst over all hosts (design section 6). The node has three roles
@@ -297,11 +317,13 @@
   void on(TimePoint Now, const HostId &From, const LeaseGrant &Message);
   void on(TimePoint Now, const HostId &From, const LeaseReturn &Message);
   void on(TimePoint Now, const HostId &From, const LeaveNotice &Message);
+  void on(TimePoint Now, const HostId &From, const LendReturn &Message);
 
   // Owner role: team_limits_owner.cpp.
   void count(const HostId &Host);
   void retireHosts(TimePoint Now);
-  void placeBrokers();
+  void placeBrokers(TimePoint Now);
+  void readmitBrokers(TimePoint Now);
   void sendJoins(TimePoint Now);
   bool ownRightUsable(TimePoint Now) const;
   bool poolUsable(TimePoint Now) const;
@@ -314,6 +336,8 @@
 
   // Broker role: team_limits_broker.cpp.
   void askOwners(TimePoint Now);
+  void returnOwnersLoans(TimePoint Now, std::size_t Index);
+  void advanceShard(TimePoint Now, std::size_t Index);
   double ownedFraction(TimePoint Now, const detail::TeamState &Team, TimePoint Time);
   double poolFraction(TimePoint Now, const detail::TeamState &Team, TimePoint Time);
   double poolRate(TimePoint Now, const detail::TeamState &Team, TimePoint Time);
@@ -359,6 +383,7 @@
   std::set<HostId> Counted_;
   std::map<HostId, TimePoint> RetireAt_;
   std::map<HostId, Incarnation> Runs_;
+  std::map<HostId, detail::LeftRun> Left_;
   std::map<HostId, std::uint32_t> Joined_; ///< count that each host confirmed
   std::uint64_t CountedHash_ = 0;
   HostId JoinCursor_;
--- a/src/engine/team_limits.cpp
+++ b/src/engine/team_limits.cpp
@@ -46,6 +46,11 @@
   return Result;
 }
 
+void LoanRecord::shorten(TimePoint End) {
+  for (Loan &Entry : Loans_)
+    Entry.End_ = std::min(Entry.End_, End);
+}
+
 void Bucket::advance(TimePoint Now, double RateFraction, double Rate, double Capacity,
                      TimePoint ValidUntil) {
   const Duration Passed = std::max(Duration::zero(), std::min(Now, ValidUntil_) - Updated_);
@@ -100,6 +105,7 @@
 
 void TeamLimits::tick(TimePoint Now) {
   retireHosts(Now);
+  readmitBrokers(Now);
   sendJoins(Now);
   askOwners(Now);
   for (auto &[Name, Team] : Teams_) {
@@ -116,6 +122,8 @@
     returnLeases(Now, Name, Team);
   drainLocal(Now);
   Leaving_ = true;
+  for (std::size_t Index = 0; Index < Shards_.size(); ++Index)
+    returnOwnersLoans(Now, Index);
   const Duration Longest =
       std::max({Settings_.OwnerTerm_, Settings_.LeaseTerm_, Settings_.BulkTerm_});
   for (const HostId &Host : Counted_)
--- a/src/engine/team_limits_broker.cpp
+++ b/src/engine/team_limits_broker.cpp
@@ -25,6 +25,9 @@
 void TeamLimits::askOwners(TimePoint Now) {
   for (std::size_t Index = 0; Index < Shards_.size(); ++Index) {
     detail::ShardState &Shard = Shards_[Index];
+    // Another broker needs the loans, also one that arrives after the change.
+    if (Shard.LocalBroker_ != Self_ && !Leaving_)
+      returnOwnersLoans(Now, Index);
     if (Shard.LocalBroker_ != Self_ || Leaving_ || Listed_.count(Self_) == 0 ||
         Now < Shard.NextAsk_)
       continue;
@@ -40,13 +43,59 @@
       Missing = true;
       send(Host.Id_, LendRequest{static_cast<std::uint32_t>(Index), Run_, Now});
     }
-    // Owners that start at the same time become able to lend within one round trip.
-    const bool Starting = Now < Start_ + Settings_.OwnerRenewal_;
+    // Owners that start at the same time become able to lend within one round trip, and those that
+    // had lent to another broker once its leases have ended.
+    const bool Starting = Now < std::max(Start_, Shard.BrokerSince_) + Settings_.OwnerRenewal_;
     const Duration Retry = std::chrono::milliseconds(Starting ? 50 : 1000);
     Shard.NextAsk_ = Now + (Missing ? Retry : std::chrono::milliseconds(200));
   }
 }
 
+void TeamLimits::advanceShard(TimePoint Now, std::size_t Index) {
+  for (auto &[Name, Team] : Teams_)
+    if (Team.Shard_ == Index)
+      advancePool(Now, Team);
+}
+
+// Returns the loans of all owners of a shard. Some of them cover all that is granted at present and
+// end with it; the others end at once.
+void TeamLimits::returnOwnersLoans(TimePoint Now, std::size_t Index) {
+  detail::ShardState &Shard = Shards_[Index];
+  // An earlier run's grants are not known here.
+  TimePoint End = Start_ + 2 * std::max(Settings_.LeaseTerm_, Settings_.BulkTerm_);
+  double Used = Now < End ? 1 : 0;
+  for (auto &[Name, Team] : Teams_) {
+    if (Team.Shard_ != Index)
+      continue;
+    Used = std::max({Used, lentFraction(Now, Team), lentRate(Now, Team)});
+    for (const auto &[Key, Record] : Team.Lent_)
+      End = std::max(End, Record.end());
+  }
+  advanceShard(Now, Index);
+  for (const LimitHost &Host : Hosts_) {
+    const auto It = Shard.Owners_.find(Host.Id_);
+    // A run that leaves never uses a loan that is still on its way.
+    const bool Coming = Leaving_ && Shard.LocalBroker_ == Self_ &&
+                        Host.DataCentre_ == DataCentre_ && Host.Id_ != Self_;
+    if (!Coming && (It == Shard.Owners_.end() || It->second.at(Now) <= 0))
+      continue;
+    LendReturn Message;
+    Message.Shard_ = static_cast<std::uint32_t>(Index);
+    Message.Incarnation_ = Run_;
+    Message.Final_ = Leaving_;
+    if (Used > 0)
+      Message.GrantsEnd_ = std::max(Duration::zero(), End - Now);
+    if (It != Shard.Owners_.end()) {
+      Used -= It->second.at(Now);
+      Message.Stamp_ = It->second.Stamp_;
+      // The entry stays, so that a duplicate of the loan is not accepted.
+      It->second.End_ = std::min(It->second.End_, Now);
+    }
+    send(Host.Id_, Message);
+  }
+  advanceShard(Now, Index);
+}
+
 void TeamLimits::on(TimePoint Now, const HostId &From, const Lend &Message) {
   if (Message.ToIncarnation_ != Run_ || Message.Shard_ >= Shards_.size() ||
       Message.Incarnation_ < Runs_[From])
--- a/src/engine/team_limits_owner.cpp
+++ b/src/engine/team_limits_owner.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <utility>
 
 #include <fmt/format.h>
 #include <xxhash.h>
@@ -35,7 +36,7 @@
       RetireAt_.emplace(Host, Now + Settings_.RetireTerm_);
   if (JoinComplete_ && ownShare() < OldShare)
     OwnUsed_.add(OldShare, OldShare, Now + std::max(Settings_.LeaseTerm_, Settings_.BulkTerm_));
-  placeBrokers();
+  placeBrokers(Now);
   sendJoins(Now);
   drainLocal(Now);
 }
@@ -48,17 +49,19 @@
     }
     if (Counted_.erase(It->first) > 0)
       CountedHash_ ^= hostHash(It->first);
+    Left_.erase(It->first);
     It = RetireAt_.erase(It);
   }
 }
 
-void TeamLimits::placeBrokers() {
+void TeamLimits::placeBrokers(TimePoint Now) {
   std::map<DataCentreId, std::vector<HostId>> ByDataCentre;
   for (const LimitHost &Host : Hosts_)
-    ByDataCentre[Host.DataCentre_].push_back(Host.Id_);
+    if (Left_.count(Host.Id_) == 0)
+      ByDataCentre[Host.DataCentre_].push_back(Host.Id_);
   for (std::size_t Index = 0; Index < Shards_.size(); ++Index) {
     detail::ShardState &Shard = Shards_[Index];
-    Shard.LocalBroker_ = Self_;
+    const HostId Before = std::exchange(Shard.LocalBroker_, Self_);
     Shard.OtherBrokers_.clear();
     for (const auto &[DataCentre, Members] : ByDataCentre) {
       const auto Top = topHosts(fmt::format("limit-shard-{}", Index), Members, 1);
@@ -67,7 +70,29 @@
       else
         Shard.OtherBrokers_.push_back(Top.front());
     }
+    if (Shard.LocalBroker_ != Before) {
+      Shard.BrokerSince_ = Now;
+      Shard.NextAsk_ = {};
+    }
+  }
+}
+
+// A host is a broker again some time after its new run was first heard.
+void TeamLimits::readmitBrokers(TimePoint Now) {
+  bool Changed = false;
+  for (auto It = Left_.begin(); It != Left_.end();) {
+    detail::LeftRun &Entry = It->second;
+    if (Entry.BrokerFrom_ == TimePoint::max() && Runs_[It->first] > Entry.Run_)
+      Entry.BrokerFrom_ = Now + Settings_.BrokerReturn_;
+    if (Now < Entry.BrokerFrom_) {
+      ++It;
+      continue;
+    }
+    It = Left_.erase(It);
+    Changed = true;
   }
+  if (Changed)
+    placeBrokers(Now);
 }
 
 void TeamLimits::noteRun(const HostId &From, Incarnation Run) {
@@ -188,7 +213,8 @@
   Answer.PreviousCount_ = Owned == OwnersCount_.end() ? 0 : Owned->second;
   for (const detail::ShardState &Shard : Shards_) {
     const auto It = Shard.Owners_.find(From);
-    Answer.HoldsLoan_ |= It != Shard.Owners_.end() && It->second.at(Now) > 0;
+    // Leases may also run out of a loan that was returned.
+    Answer.HoldsLoan_ |= It != Shard.Owners_.end();
   }
   dropEarlierLoans(Now, From, Message.Incarnation_);
   for (const auto &[Name, Team] : Teams_) {
@@ -259,6 +285,33 @@
   noteRun(From, Message.Incarnation_);
   if (Listed_.count(From) == 0 && Counted_.count(From) > 0)
     RetireAt_[From] = Now + Message.LoansEnd_ + Settings_.BulkTerm_;
+  if (Left_[From].Run_ >= Message.Incarnation_)
+    return;
+  Left_[From] = {Message.Incarnation_, TimePoint::max()};
+  // No answer will come; the next request goes to the next broker.
+  for (auto &[Name, Team] : Teams_)
+    for (auto *Loans : {&Team.Leases_, &Team.Bulk_, &Team.SpotBulk_}) {
+      const auto It = Loans->find(From);
+      if (It != Loans->end())
+        It->second.Pending_ = false;
+    }
+  placeBrokers(Now);
+}
+
+void TeamLimits::on(TimePoint Now, const HostId &From, const LendReturn &Message) {
+  if (Message.Shard_ >= Shards_.size() || Message.Incarnation_ < Runs_[From])
+    return;
+  noteRun(From, Message.Incarnation_);
+  detail::LoanRecord &Lent = Shards_[Message.Shard_].Lent_;
+  // A later loan to a run that goes on may be in use.
+  if (Shards_[Message.Shard_].Borrower_ != From || Lent.Borrower_ != Message.Incarnation_ ||
+      (!Message.Final_ && Lent.LastStamp_ != Message.Stamp_))
+    return;
+  advanceShard(Now, Message.Shard_);
+  // The time starts when the message arrives, so a delay only makes the loan longer.
+  Lent.shorten(Now +
+               std::chrono::duration_cast<Duration>(Message.GrantsEnd_ / Settings_.BorrowerPart_));
+  advanceShard(Now, Message.Shard_);
 }
 
 } // namespace bronzestand
--- a/src/node/codec_team_limits.cpp
+++ b/src/node/codec_team_limits.cpp
@@ -115,6 +115,10 @@
   Each(Message.Incarnation_, Message.LoansEnd_);
 }
 
+template <typename Io, typename M> void fields(Io &&Each, M &Message, const LendReturn * /*Type*/) {
+  Each(Message.Shard_, Message.Incarnation_, Message.Stamp_, Message.Final_, Message.GrantsEnd_);
+}
+
 template <typename M> LimitMessage read(const json &In) {
   M Message;
   fields(Reader(In), Message, static_cast<const M *>(nullptr));
--- a/src/node/limits_part.cpp
+++ b/src/node/limits_part.cpp
@@ -36,9 +36,9 @@
     const TimePoint Now = now();
     checkPause(Now);
     Limits_.handle(Now, From.Host_, Message);
-    // Joins and loans of owners take seconds and need no fast tick.
+    // Joins and loans of owners take seconds and need no fast tick, but a next broker does.
     if (std::holds_alternative<LeaseRequest>(Message) ||
-        std::holds_alternative<LeaseGrant>(Message))
+        std::holds_alternative<LeaseGrant>(Message) || std::holds_alternative<LeaveNotice>(Message))
       keepTicking(Now);
     applyEffects(Now);
   });
