Resend calls that were lost with a link without using the retry budget

Cause: after the modules were bound together, 16 calls lost with a silent link shared a retry budget of about one call a second, so most ended as no_backend_server although their hosts answered on a new link; the host was also excluded from the retry.

--- a/src/node/routed_call.cpp
+++ b/src/node/routed_call.cpp
@@ -87,6 +87,7 @@
   TryStarted_ = now();
   ++Try_;
   Ended_ = false;
+  LostWithLink_ = false;
   Link_ = 0;
   HostRun_ = 0;
   LostQueries_ = 0;
@@ -141,6 +142,10 @@
   } else if (Cancelled_ && Result.Outcome_ == Outcome::Unknown) {
     finish(Answer::refused(Call_.Id_, Refusal::TimedOut));
   } else {
+    // The call was lost with a link; the host that answered the query over a new one may try again.
+    LostWithLink_ = HostRun_ != 0 && Result.Outcome_ == Outcome::NotRun;
+    if (LostWithLink_)
+      Tried_.erase(Host_);
     retryOrFinish(Result);
   }
 }
@@ -193,6 +198,9 @@
 bool RoutedCall::mayRetry(const Answer &Result) const {
   if (Cancelled_ || Try_ >= MaxTries)
     return false;
+  // A call that never reached its host caused no load there, so it does not use the retry budget.
+  if (LostWithLink_)
+    return timeLeft() > Duration::zero();
   FailedCall Failed;
   Failed.Service_ = Call_.Service_;
   Failed.Outcome_ = Result.Outcome_;
--- a/src/node/routed_call.h
+++ b/src/node/routed_call.h
@@ -60,8 +60,9 @@
   Incarnation HostRun_ = 0; ///< incarnation that was asked; 0 before the first query
   std::uint32_t LostQueries_ = 0;
   std::uint32_t Try_ = 0;
-  bool Ended_ = false;   ///< the end of the current try is known, with its unused attempts
-  bool Expired_ = false; ///< the deadline has passed
+  bool Ended_ = false;        ///< the end of the current try is known, with its unused attempts
+  bool LostWithLink_ = false; ///< the host never received the current try
+  bool Expired_ = false;      ///< the deadline has passed
   bool Done_ = false;
   bool TryRuns_ = false;
   bool Cancelled_ = false; ///< nobody waits any more, or the deadline has passed
--- a/tests/integration/answers_test.cpp
+++ b/tests/integration/answers_test.cpp
@@ -137,6 +137,9 @@
 
 // Guards against a call that leaves the node after it was reported as not run.
 TEST_CASE_METHOD(AnswersFixture, "answers_not_run_call_does_not_run_when_a_link_opens_later") {
+  // Ends the links that are open, so that the call has to wait for a new one.
+  Fleet_.setFault("pay-1", "*", "cut");
+  std::this_thread::sleep_for(milliseconds(200));
   Fleet_.setFault("pay-1", "*", "hold");
   node::HttpRequest Request{"GET", "/slow", {{"X-Api-Key", "key-hotels"}}, {}};
   Request.Headers_.push_back({"Bronzestand-Deadline-Ms", "500"});
