--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -44,9 +44,9 @@
   return Result;
 }
 
-constexpr std::array<std::string_view, 10> MechanismNames{
-    "team_limits", "claims",   "dispatcher", "fairness",    "admission",
-    "attempts",    "balancer", "quarantine", "link_budget", "key_check"};
+constexpr std::array<std::string_view, 9> MechanismNames{
+    "team_limits", "claims",   "dispatcher", "fairness",   "admission",
+    "attempts",    "balancer", "quarantine", "link_budget"};
 
 std::set<Mechanism> readDisabled(YamlReader &Reader) {
   std::set<Mechanism> Result;
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -33,7 +33,6 @@
   Balancer,
   Quarantine,
   LinkBudget,
-  KeyCheck,
 };
 
 std::string_view mechanismName(Mechanism Value);
--- a/tests/integration/answers_test.cpp
+++ b/tests/integration/answers_test.cpp
@@ -56,6 +56,7 @@
 
   std::vector<std::future<HttpReply>> sendMany(const std::string &Method = "POST") {
     std::vector<std::future<HttpReply>> Pending;
+    Pending.reserve(Calls);
     for (int Index = 0; Index < Calls; ++Index)
       Pending.push_back(std::async(std::launch::async, [this, Index, Method] {
         return send(fmt::format("body-{}", Index), Method);
