--- a/include/bronzestand/call.h
+++ b/include/bronzestand/call.h
@@ -49,6 +49,16 @@
   std::uint64_t Fingerprint_ = 0;
   bool AtMostOnce_ = false;
   bool Idempotent_ = false;
+  Duration Objective_{};            ///< time left in which an answer is useful in full
+  std::uint64_t ConfigVersion_ = 0; ///< in force at the sender; 0 if it has no version
+};
+
+/// Load of a backend server as its node reports it with each answer.
+struct BackendLoad {
+  std::uint32_t Running_ = 0;
+  std::uint32_t Waiting_ = 0; ///< in the queue of the node
+  std::uint32_t Limit_ = 0;   ///< calls that the node lets run at the same time; 0 if not known
+  Duration ServiceTime_{};    ///< recent mean time of a call at the server
 };
 
 /// Admission level of a service: calls below the threshold are refused at the entry.
@@ -68,6 +78,8 @@
   std::uint32_t UnusedAttempts_ = 0;
   std::vector<ServiceLevel> Levels_;
   bool Leaving_ = false; ///< the executor's host is leaving
+  BackendLoad Load_;
+  std::uint64_t ConfigVersion_ = 0; ///< as in Call
 
   static Answer refused(CallId Id, Refusal Reason) {
     Answer Result;
--- a/include/bronzestand/refusal.h
+++ b/include/bronzestand/refusal.h
@@ -40,6 +40,8 @@
   ConnectionLost,
   TimedOut,
   OutcomeUnknown,
+  BackendRejected, ///< the backend server said that it did not run the request
+  WrongBackend,    ///< another backend server has the address
 };
 
 /// How a refusal appears to a caller.
--- a/src/engine/refusal.cpp
+++ b/src/engine/refusal.cpp
@@ -8,7 +8,7 @@
 constexpr std::array<std::string_view, 3> OutcomeNames{"served", "not-run", "unknown"};
 
 // In the order of the enumerators.
-constexpr std::array<RefusalInfo, 23> RefusalTable{{
+constexpr std::array<RefusalInfo, 25> RefusalTable{{
     {"bad_request", 400, Outcome::NotRun, false},
     {"key_missing", 401, Outcome::NotRun, false},
     {"key_unknown", 401, Outcome::NotRun, false},
@@ -32,8 +32,10 @@
     {"connection_lost", 502, Outcome::Unknown, false},
     {"timed_out", 504, Outcome::Unknown, false},
     {"outcome_unknown", 409, Outcome::Unknown, false},
+    {"backend_rejected", 503, Outcome::NotRun, true},
+    {"wrong_backend_server", 503, Outcome::NotRun, true},
 }};
-static_assert(static_cast<std::size_t>(Refusal::OutcomeUnknown) + 1 == RefusalTable.size());
+static_assert(static_cast<std::size_t>(Refusal::WrongBackend) + 1 == RefusalTable.size());
 
 } // namespace
 
--- /dev/null
+++ b/src/mesh/backend_gate.cpp
@@ -0,0 +1,315 @@
+#include "mesh/backend_gate.h"
+
+#include <algorithm>
+
+#include "node/clock.h"
+
+namespace bronzestand::node {
+namespace {
+
+/// Used while the platform does not tell the slots of the server.
+constexpr unsigned DefaultSlots = 32;
+/// Bound on connections while the configuration does not tell one; well above the slots.
+constexpr std::size_t MaxConnections = 1024;
+/// Weight of one call in the mean service times.
+constexpr double MeanWeight = 0.1;
+/// A request that must not run twice goes out on a connection that was in use this recently,
+/// because the server may have closed an older one unnoticed.
+constexpr Duration FreshConnection = std::chrono::milliseconds(1000);
+constexpr Duration KeptConnection = std::chrono::seconds(4);
+/// A call waits at least for this part of its time, so that a short queue smooths bursts.
+constexpr double MinWaitShare = 0.12;
+/// Slots are taken off after a rejection and come back at this rate a second, up to this share.
+constexpr double ReduceStep = 1.0;
+constexpr double RestorePerSecond = 2.0;
+constexpr double MaxReducedShare = 0.3;
+/// Calls still reach a server for this long after the platform has listed it as leaving, because
+/// other nodes learn of it later.
+constexpr Duration MinTimeLeft = std::chrono::milliseconds(5);
+
+std::string milliseconds(Duration Time) {
+  return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(Time).count());
+}
+
+} // namespace
+
+BackendGate::BackendGate(boost::asio::io_context &Io, const Settings &Config,
+                         const HeaderNames &Names, FleetState &Fleet, EventLog &Events)
+    : Config_(Config), Names_(Names), Fleet_(Fleet), Events_(Events), ExpiryTimer_(Io),
+      Client_(Io, Config.BackendServer_, MaxConnections), Queue_(true, true) {}
+
+unsigned BackendGate::limit() const {
+  const BackendServer *Own = Fleet_.ownServer();
+  const unsigned Slots = Own != nullptr && Own->Slots_ != 0 ? Own->Slots_ : DefaultSlots;
+  const auto Less = static_cast<unsigned>(Reduced_);
+  return std::max(1U, Slots - std::min(Less, Slots - 1));
+}
+
+BackendLoad BackendGate::load() const {
+  BackendLoad Result;
+  Result.Running_ = Sending_;
+  Result.Waiting_ = static_cast<std::uint32_t>(Queue_.size());
+  Result.Limit_ = limit();
+  Result.ServiceTime_ = std::chrono::microseconds(static_cast<std::int64_t>(MeanSeconds_ * 1e6));
+  return Result;
+}
+
+Duration BackendGate::meanTime(const Call &Request) const {
+  const auto Found = SecondsByClass_.find(Request.Class_.str());
+  const double Seconds = Found == SecondsByClass_.end() ? MeanSeconds_ : Found->second;
+  return std::chrono::microseconds(static_cast<std::int64_t>(Seconds * 1e6));
+}
+
+Duration BackendGate::expectedWait(const Call &Request) const {
+  const unsigned Limit = limit();
+  if (Sending_ < Limit)
+    return Duration::zero();
+  const std::size_t Ahead = Queue_.ahead(Request.Standing_.ClassRank_, Request.Team_) + 1;
+  return std::chrono::microseconds(
+      static_cast<std::int64_t>(MeanSeconds_ * 1e6 * static_cast<double>(Ahead) / Limit));
+}
+
+std::optional<Refusal> BackendGate::refusalOf(const Call &Request) const {
+  if (Request.Service_ != Config_.Service_)
+    return Refusal::WrongBackend;
+  if (Draining_)
+    return Refusal::ShuttingDown;
+  const BackendServer *Own = Fleet_.ownServer();
+  if (Own != nullptr && Own->Leaving_)
+    return Refusal::NoBackendServer;
+  if (Request.TimeLeft_ < MinTimeLeft)
+    return Refusal::DeadlineTooShort;
+  const Duration Wait = expectedWait(Request);
+  if (Wait == Duration::zero())
+    return std::nullopt;
+  const Duration Mean = meanTime(Request);
+  if (Wait + Mean > Request.TimeLeft_)
+    return Refusal::Overloaded;
+  // Work that would come too late to be useful gives way to work that would not.
+  const auto Least = std::chrono::duration_cast<Duration>(Request.TimeLeft_ * MinWaitShare);
+  if (Wait > std::max(Request.Objective_ - Mean, Least))
+    return Refusal::Overloaded;
+  return std::nullopt;
+}
+
+void BackendGate::submitCall(const HostId &Caller, Call Request, Reply Done) {
+  Fleet_.noteVersion(Request.ConfigVersion_);
+  const CallKey Key(Caller, Request.Id_);
+  const auto Reason = refusalOf(Request);
+  Item &Added = Calls_[Key];
+  Added.Call_ = std::move(Request);
+  Added.Done_ = std::move(Done);
+  Added.Arrived_ = now();
+  Added.Deadline_ = Added.Arrived_ + Added.Call_.TimeLeft_;
+  if (Reason) {
+    finish(Key, Answer::refused(Key.second, *Reason));
+    return;
+  }
+  Added.Number_ = ++LastNumber_;
+  ByNumber_[Added.Number_] = Key;
+  QueueEntry Entry;
+  Entry.Id_ = Added.Number_;
+  Entry.Team_ = Added.Call_.Team_;
+  Entry.Standing_ = Added.Call_.Standing_;
+  Entry.Deadline_ = Added.Deadline_ - meanTime(Added.Call_) / 2;
+  Queue_.push(Added.Arrived_, Entry);
+  dispatch();
+}
+
+void BackendGate::dispatch() {
+  const TimePoint Now = now();
+  while (!Queue_.empty() && Sending_ < limit()) {
+    const FairQueue::Taken Next = Queue_.pop(Now, false);
+    const auto Found = ByNumber_.find(Next.Entry_.Id_);
+    if (Found != ByNumber_.end())
+      send(CallKey(Found->second));
+  }
+  scheduleExpiry();
+}
+
+void BackendGate::send(const CallKey &Key) {
+  Item &Current = Calls_.at(Key);
+  ByNumber_.erase(Current.Number_);
+  const TimePoint Now = now();
+  const Duration Left = Current.Deadline_ - Now;
+  const BackendServer *Own = Fleet_.ownServer();
+  if (Left < MinTimeLeft || (Own != nullptr && Own->Leaving_)) {
+    finish(Key, Answer::refused(Key.second, Left < MinTimeLeft ? Refusal::DeadlineTooShort
+                                                               : Refusal::NoBackendServer));
+    return;
+  }
+  Current.Sent_ = Now;
+  Current.Sending_ = true;
+  ++Sending_;
+  HttpRequest Request;
+  Request.Method_ = Current.Call_.Method_;
+  Request.Target_ = Current.Call_.Target_;
+  Request.Headers_ = Current.Call_.Headers_;
+  Request.Headers_.push_back({Names_.Deadline_, milliseconds(Left)});
+  Request.Body_ = Current.Call_.Body_;
+  SendOptions Options;
+  Options.MaxIdle_ = Current.Call_.Idempotent_ ? KeptConnection : FreshConnection;
+  Options.EchoHeader_ = Names_.RequestId_;
+  Options.EndsByClose_ = true;
+  Current.Request_ = Client_.send(
+      std::move(Request), Left,
+      [this, Key](HttpResult Result, HttpResponse Response) {
+        onResult(Key, Result, std::move(Response));
+      },
+      {}, std::move(Options));
+}
+
+// A success counts only with the server's own mark and the id of the request.
+bool BackendGate::isOwnAnswer(const Call &Request, const HttpResponse &Response) const {
+  const auto Id = findHeader(Response.Headers_, Names_.RequestId_);
+  return findHeader(Response.Headers_, Names_.Signature_).has_value() && Id &&
+         *Id == Request.Request_.str();
+}
+
+Answer BackendGate::toAnswer(const Call &Request, HttpResult Result, HttpResponse &&Response) {
+  switch (Result) {
+  case HttpResult::NotSent:
+    return Answer::refused(Request.Id_, Refusal::NoBackendServer);
+  case HttpResult::Lost:
+  case HttpResult::Cancelled:
+    return Answer::refused(Request.Id_, Refusal::ConnectionLost);
+  case HttpResult::TimedOut:
+    return Answer::refused(Request.Id_, Refusal::TimedOut);
+  case HttpResult::Answered:
+    break;
+  }
+  if (Response.Status_ == 421)
+    return Answer::refused(Request.Id_, Refusal::WrongBackend);
+  if (findHeader(Response.Headers_, Names_.NotRun_)) {
+    Reduced_ = std::min(Reduced_ + ReduceStep, MaxReducedShare * limit());
+    return Answer::refused(Request.Id_, Refusal::BackendRejected);
+  }
+  if (Response.Status_ < 400 && !isOwnAnswer(Request, Response))
+    return Answer::refused(Request.Id_, Refusal::ConnectionLost);
+  Answer Done;
+  Done.Id_ = Request.Id_;
+  Done.Outcome_ = Outcome::Served;
+  Done.HttpStatus_ = Response.Status_;
+  Done.Headers_ = std::move(Response.Headers_);
+  Done.Body_ = std::move(Response.Body_);
+  return Done;
+}
+
+void BackendGate::onResult(const CallKey &Key, HttpResult Result, HttpResponse Response) {
+  const auto Found = Calls_.find(Key);
+  if (Found == Calls_.end())
+    return;
+  const Call &Request = Found->second.Call_;
+  const double Seconds = std::chrono::duration<double>(now() - Found->second.Sent_).count();
+  if (Result == HttpResult::Answered && Response.Status_ < 500) {
+    const auto Update = [&](double &Mean) {
+      Mean = Mean <= 0.0 ? Seconds : Mean + MeanWeight * (Seconds - Mean);
+    };
+    Update(MeanSeconds_);
+    Update(SecondsByClass_[Request.Class_.str()]);
+  }
+  finish(Key, toAnswer(Request, Result, std::move(Response)));
+}
+
+void BackendGate::finish(const CallKey &Key, Answer Result) {
+  const auto Found = Calls_.find(Key);
+  if (Found == Calls_.end())
+    return;
+  const Item Ended = std::move(Found->second);
+  Calls_.erase(Found);
+  ByNumber_.erase(Ended.Number_);
+  Sending_ -= Ended.Sending_ ? 1 : 0;
+  Result.Load_ = load();
+  Result.Leaving_ = Draining_;
+  Result.ConfigVersion_ = Fleet_.version();
+  ++(Result.Outcome_ == Outcome::Served   ? Served_
+     : Result.Outcome_ == Outcome::NotRun ? Refused_
+                                          : Unknown_);
+  const TimePoint Now = now();
+  if (Result.Outcome_ != Outcome::Served && Events_.mayWrite(Now, EventClass::Decision))
+    Events_.write(Now, EventClass::Decision, "backend_gate", "call_failed",
+                  {{"request", Ended.Call_.Request_.str()},
+                   {"caller", Key.first.str()},
+                   {"reason", refusalInfo(Result.Refusal_).Name_},
+                   {"reached_server", Ended.Sending_},
+                   {"running", Sending_},
+                   {"waiting", Queue_.size()},
+                   {"limit", Result.Load_.Limit_},
+                   {"age_us", (Now - Ended.Arrived_).count()},
+                   {"time_left_us", (Ended.Deadline_ - Now).count()},
+                   {"config_version", Result.ConfigVersion_}});
+  Ended.Done_(Result);
+  if (Ended.Sending_)
+    dispatch();
+}
+
+void BackendGate::cancel(const HostId &Caller, CallId Id) {
+  const CallKey Key(Caller, Id);
+  const auto Found = Calls_.find(Key);
+  if (Found == Calls_.end())
+    return;
+  if (Found->second.Sending_) {
+    Client_.cancel(Found->second.Request_);
+    return;
+  }
+  Queue_.erase(Found->second.Number_);
+  finish(Key, Answer::refused(Id, Refusal::Cancelled));
+}
+
+void BackendGate::abort() {
+  std::vector<CallKey> Keys;
+  for (const auto &[Key, Current] : Calls_)
+    Keys.push_back(Key);
+  for (const CallKey &Key : Keys)
+    cancel(Key.first, Key.second);
+}
+
+void BackendGate::scheduleExpiry() {
+  const QueueEntry *First = Queue_.earliest();
+  if (First == nullptr) {
+    ExpiryTimer_.cancel();
+    return;
+  }
+  ExpiryTimer_.expires_after(std::max(Duration::zero(), First->Deadline_ - now()));
+  ExpiryTimer_.async_wait([this](const boost::system::error_code &Failure) {
+    if (!Failure)
+      expire();
+  });
+}
+
+void BackendGate::expire() {
+  const TimePoint Now = now();
+  while (const QueueEntry *First = Queue_.earliest()) {
+    if (First->Deadline_ > Now)
+      break;
+    const CallId Number = First->Id_;
+    Queue_.erase(Number);
+    if (const auto Found = ByNumber_.find(Number); Found != ByNumber_.end()) {
+      const CallKey Key = Found->second;
+      finish(Key, Answer::refused(Key.second, Refusal::Overloaded));
+    }
+  }
+  scheduleExpiry();
+}
+
+void BackendGate::tick(TimePoint Now) {
+  const double Time = std::chrono::duration<double>(Now - ReducedAt_).count();
+  ReducedAt_ = Now;
+  Reduced_ = std::max(0.0, Reduced_ - RestorePerSecond * std::clamp(Time, 0.0, 1.0));
+}
+
+nlohmann::json BackendGate::dump() const {
+  return {{"running", Sending_},
+          {"waiting", Queue_.size()},
+          {"limit", limit()},
+          {"mean_s", MeanSeconds_},
+          {"backend_server", Config_.BackendServer_.str()},
+          {"connections", Client_.connections()},
+          {"connections_opened", Client_.opened()},
+          {"served", Served_},
+          {"refused", Refused_},
+          {"unknown", Unknown_},
+          {"draining", Draining_}};
+}
+
+} // namespace bronzestand::node
--- /dev/null
+++ b/src/mesh/backend_gate.h
@@ -0,0 +1,89 @@
+#ifndef BRONZESTAND_MESH_BACKEND_GATE_H
+#define BRONZESTAND_MESH_BACKEND_GATE_H
+
+#include <map>
+#include <utility>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "bronzestand/dispatcher.h"
+#include "mesh/fleet_state.h"
+#include "mesh/header_names.h"
+#include "node/call_runner.h"
+#include "node/http_client.h"
+#include "node/part.h"
+
+namespace bronzestand::node {
+
+/// Runs calls on the backend server beside this node, as many at a time as it has slots. Calls wait
+/// here, by rank, team and deadline, and not in the server (design section 9).
+class BackendGate final : public Part, public CallRunner {
+public:
+  BackendGate(boost::asio::io_context &Io, const Settings &Config, const HeaderNames &Names,
+              FleetState &Fleet, EventLog &Events);
+
+  void submitCall(const HostId &Caller, Call Request, Reply Done) override;
+  void cancel(const HostId &Caller, CallId Id) override;
+  /// Refuses new calls from now on; those that wait or run are finished.
+  void drain() { Draining_ = true; }
+  /// Ends everything at once.
+  void abort();
+  std::size_t running() const { return Calls_.size(); }
+  BackendLoad load() const;
+
+  std::string_view name() const override { return "backend_gate"; }
+  absl::Status start() override { return absl::OkStatus(); }
+  void stop() override { ExpiryTimer_.cancel(); }
+  void tick(TimePoint Now) override;
+  nlohmann::json dump() const override;
+
+private:
+  using CallKey = std::pair<HostId, CallId>;
+  struct Item {
+    Call Call_;
+    Reply Done_;
+    TimePoint Arrived_;
+    TimePoint Deadline_;
+    TimePoint Sent_{};
+    CallId Number_ = 0; ///< in the queue
+    HttpClient::RequestNumber Request_ = 0;
+    bool Sending_ = false;
+  };
+
+  unsigned limit() const;
+  Duration meanTime(const Call &Request) const;
+  Duration expectedWait(const Call &Request) const;
+  std::optional<Refusal> refusalOf(const Call &Request) const;
+  void dispatch();
+  void send(const CallKey &Key);
+  void onResult(const CallKey &Key, HttpResult Result, HttpResponse Response);
+  Answer toAnswer(const Call &Request, HttpResult Result, HttpResponse &&Response);
+  bool isOwnAnswer(const Call &Request, const HttpResponse &Response) const;
+  void finish(const CallKey &Key, Answer Result);
+  void expire();
+  void scheduleExpiry();
+
+  const Settings &Config_;
+  const HeaderNames &Names_;
+  FleetState &Fleet_;
+  EventLog &Events_;
+  boost::asio::steady_timer ExpiryTimer_;
+  HttpClient Client_;
+  FairQueue Queue_;
+  std::map<CallKey, Item> Calls_;
+  std::map<CallId, CallKey> ByNumber_;
+  CallId LastNumber_ = 0;
+  unsigned Sending_ = 0;
+  double MeanSeconds_ = 0.0;                     ///< moving average over all calls
+  std::map<std::string, double> SecondsByClass_; ///< moving average by route
+  double Reduced_ = 0.0;                         ///< slots that the server seems not to have
+  TimePoint ReducedAt_{};
+  bool Draining_ = false;
+  std::uint64_t Served_ = 0;
+  std::uint64_t Refused_ = 0;
+  std::uint64_t Unknown_ = 0;
+};
+
+} // namespace bronzestand::node
+
+#endif
--- /dev/null
+++ b/src/mesh/fleet_state.cpp
@@ -0,0 +1,114 @@
+#include "mesh/fleet_state.h"
+
+#include <algorithm>
+
+#include "node/clock.h"
+
+namespace bronzestand::node {
+namespace {
+
+/// Interval of reads that other nodes' versions cause; one read takes a few milliseconds.
+constexpr Duration RefreshInterval = std::chrono::milliseconds(300);
+
+} // namespace
+
+FleetState::FleetState(const Settings &Config, EventLog &Events)
+    : Host_(Config.Host_), Events_(Events) {}
+
+void FleetState::apply(FleetConfig Config) {
+  if (Config.Version_ <= Config_.Version_)
+    return;
+  Events_.write(now(), EventClass::Belief, "fleet_state", "config_in_force",
+                {{"version", Config.Version_},
+                 {"previous", Config_.Version_},
+                 {"routes", Config.Routes_.size()},
+                 {"teams", Config.Teams_.size()}});
+  std::set<TeamId> Names;
+  for (const FleetTeam &Team : Config.Teams_) {
+    Names.insert(Team.Spec_.Name_);
+    Keys_.setTeam(Team.Spec_);
+  }
+  for (const FleetTeam &Team : Config_.Teams_)
+    if (Names.count(Team.Spec_.Name_) == 0)
+      Keys_.eraseTeam(Team.Spec_.Name_);
+  Routes_ = RouteTable(Config.Routes_);
+  Config_ = std::move(Config);
+  for (const Callback &Use : OnConfig_)
+    Use();
+}
+
+void FleetState::noteVersion(std::uint64_t Version) {
+  const TimePoint Now = now();
+  if (Version <= Config_.Version_ || !Refresh_ || Now - LastRefresh_ < RefreshInterval)
+    return;
+  LastRefresh_ = Now;
+  Events_.write(Now, EventClass::Belief, "fleet_state", "behind_peer",
+                {{"version", Config_.Version_}, {"peer_version", Version}});
+  Refresh_();
+}
+
+const FleetTeam *FleetState::findTeam(const TeamId &Name) const {
+  const auto Found = std::find_if(Config_.Teams_.begin(), Config_.Teams_.end(),
+                                  [&](const FleetTeam &Team) { return Team.Spec_.Name_ == Name; });
+  return Found == Config_.Teams_.end() ? nullptr : &*Found;
+}
+
+void FleetState::put(BackendServer Entry) {
+  const nlohmann::json Server = Entry.Id_;
+  const bool Leaving = Entry.Leaving_;
+  const std::string Host = Entry.Host_.str();
+  const std::string Service = Entry.Service_.str();
+  if (!Directory_.put(now(), std::move(Entry)))
+    return;
+  Events_.write(
+      now(), EventClass::Belief, "fleet_state", "server_listed",
+      {{"server", Server}, {"address", Host}, {"service", Service}, {"leaving", Leaving}});
+  serversChanged();
+}
+
+void FleetState::remove(const std::string &Id, bool Trusted) {
+  const bool Changed = Directory_.remove(now(), Id, Trusted);
+  Events_.write(now(), EventClass::Belief, "fleet_state",
+                Changed ? "server_removed" : "server_missing",
+                {{"server", Id}, {"list_trusted", Trusted}});
+  if (Changed)
+    serversChanged();
+}
+
+void FleetState::replace(std::vector<BackendServer> Entries, bool Trusted) {
+  const std::size_t Count = Entries.size();
+  const bool Changed = Directory_.replace(now(), std::move(Entries), Trusted) || !Listed_;
+  Listed_ = true;
+  Events_.write(now(), EventClass::Belief, "fleet_state", "list_read",
+                {{"servers", Count}, {"changed", Changed}, {"list_trusted", Trusted}});
+  if (Changed)
+    serversChanged();
+}
+
+void FleetState::tick(TimePoint Now) {
+  if (Directory_.expire(Now))
+    serversChanged();
+}
+
+void FleetState::serversChanged() {
+  for (const Callback &Use : OnServers_)
+    Use();
+}
+
+nlohmann::json FleetState::dump() const {
+  nlohmann::json Servers = nlohmann::json::array();
+  for (const auto &[Id, Server] : Directory_.all())
+    Servers.push_back({{"id", Id},
+                       {"host", Server.Host_.str()},
+                       {"service", Server.Service_.str()},
+                       {"data_centre", Server.DataCentre_.str()},
+                       {"slots", Server.Slots_},
+                       {"leaving", Server.Leaving_}});
+  return {{"version", Config_.Version_},
+          {"routes", Config_.Routes_.size()},
+          {"teams", Config_.Teams_.size()},
+          {"listed", Listed_},
+          {"servers", std::move(Servers)}};
+}
+
+} // namespace bronzestand::node
--- /dev/null
+++ b/src/mesh/mesh_node.cpp
@@ -0,0 +1,213 @@
+#include "mesh/mesh_node.h"
+
+#include "mesh/backend_gate.h"
+#include "mesh/entry.h"
+#include "mesh/link_watch.h"
+#include "mesh/mesh_metrics.h"
+#include "mesh/team_share_part.h"
+#include "node/clock.h"
+#include "node/http_server.h"
+#include "node/peer_links.h"
+#include "node/remote_calls.h"
+#include "node/supervisor.h"
+
+namespace bronzestand::node {
+namespace {
+
+constexpr Duration TickInterval = std::chrono::milliseconds(100);
+/// The platform asks for readiness each second and takes a node out after two misses.
+constexpr Duration MinDrainTime = std::chrono::milliseconds(2300);
+/// Kept back from the grace period for the answers of what is ended early.
+constexpr Duration AbortMargin = std::chrono::milliseconds(600);
+/// Time in which answers are written to callers and peers before the process ends.
+constexpr Duration WriteTime = std::chrono::milliseconds(150);
+/// Pipelined requests of one connection that run at the same time.
+constexpr std::size_t Pipelined = 16;
+/// Descriptors bound the connections of callers; a node has some 4,000.
+constexpr std::size_t CallerConnections = 2500;
+/// An answer that a caller does not read in this time ends the connection.
+constexpr std::chrono::milliseconds CallerReadTimeout{15'000};
+
+HttpResponse page(unsigned Status, std::string_view Type, std::string Body) {
+  HttpResponse Response;
+  Response.Status_ = Status;
+  Response.Headers_ = {{"Content-Type", std::string(Type)}};
+  Response.Body_ = std::move(Body);
+  return Response;
+}
+
+HttpServerLimits limitsOf(const CallerLimits &Values) {
+  HttpServerLimits Limits;
+  Limits.HeaderBytes_ = Values.HeaderBytes_;
+  Limits.BodyBytes_ = Values.BodyBytes_;
+  Limits.HeaderTimeout_ = Values.HeaderTimeout_;
+  Limits.ReadTimeout_ = CallerReadTimeout;
+  Limits.IdleTimeout_ = Values.IdleTimeout_;
+  Limits.Connections_ = CallerConnections;
+  Limits.Pipelined_ = Pipelined;
+  return Limits;
+}
+
+} // namespace
+
+class MeshNode::Impl {
+public:
+  Impl(boost::asio::io_context &Io, Settings Config, HeaderNames Names, const MakeSource &Source)
+      : Io_(Io), Config_(std::move(Config)), Names_(std::move(Names)), Run_(wallMicroseconds()),
+        Timer_(Io), Events_(Config_.Host_.str()), Links_(Io, Config_, Run_),
+        Fleet_(Config_, Events_), Source_(Source(Io, Config_, Fleet_, Events_)),
+        Gate_(Io, Config_, Names_, Fleet_, Events_), RemoteCalls_(Gate_, Links_, Run_),
+        Shares_(Config_, Fleet_, Links_),
+        Entry_({Io, Config_, Names_, Fleet_, Links_, Gate_, Shares_, Metrics_, Events_}, Run_),
+        Watch_(Links_, Entry_, Events_),
+        CallerServer_(Io, Config_.CallerListen_, limitsOf({}),
+                      [this](HttpRequest Request, const HttpExchangePtr &Exchange) {
+                        Entry_.handle(std::move(Request), Exchange);
+                      }),
+        OperatorServer_(Io, Config_.OperatorListen_, {},
+                        [this](const HttpRequest &Request, const HttpExchangePtr &Exchange) {
+                          handleOperator(Request, Exchange);
+                        }) {}
+
+  absl::Status start() {
+    Links_.setResolver([this](const HostId &Host) {
+      return std::optional<Endpoint>({Host.str(), Config_.PeerListen_.Port_});
+    });
+    Fleet_.onConfig([this] { CallerServer_.setLimits(limitsOf(Fleet_.config().Limits_)); });
+    for (Part *Child : children())
+      Supervisor_.add(*Child);
+    Events_.write(now(), EventClass::Belief, "node", "started",
+                  {{"incarnation", Run_},
+                   {"service", Config_.Service_.str()},
+                   {"data_centre", Config_.DataCentre_.str()},
+                   {"peers_authenticated", !Config_.PeerSecret_.empty()}});
+    absl::Status Result = OperatorServer_.start();
+    if (Result.ok())
+      Result = Supervisor_.start();
+    if (!Result.ok())
+      return Result;
+    scheduleTick();
+    return CallerServer_.start();
+  }
+
+  void shutdown() {
+    if (Draining_) {
+      stopAll();
+      return;
+    }
+    Draining_ = true;
+    DrainStart_ = now();
+    Events_.write(DrainStart_, EventClass::Belief, "node", "stopping",
+                  {{"requests", Entry_.running()}, {"calls", Gate_.running()}});
+    CallerServer_.announceClose();
+    Gate_.drain();
+    for (const HostId &Host : Fleet_.servers().hosts())
+      if (Links_.isLinked(Host))
+        Links_.send(Host, MessageKind::Leaving, nullptr);
+  }
+
+private:
+  std::vector<Part *> children() {
+    return {&Links_, &Fleet_,       Source_.get(), &Metrics_, &Shares_,
+            &Gate_,  &RemoteCalls_, &Entry_,       &Watch_};
+  }
+
+  void scheduleTick() {
+    Timer_.expires_after(TickInterval);
+    Timer_.async_wait([this](const boost::system::error_code &Failure) {
+      if (Failure)
+        return;
+      const TimePoint Now = now();
+      Supervisor_.tick(Now);
+      if (Draining_ && drain(Now))
+        return;
+      scheduleTick();
+    });
+  }
+
+  bool isIdle() const {
+    return Entry_.running() == 0 && Gate_.running() == 0 && CallerServer_.runningRequests() == 0;
+  }
+
+  /// \return whether the end of the process is on its way.
+  bool drain(TimePoint Now) {
+    const Duration Time = Now - DrainStart_;
+    const bool Late = Time >= Config_.Mesh_->GracePeriod_ - AbortMargin;
+    if (!Late && (Time < MinDrainTime || !isIdle()))
+      return false;
+    CallerServer_.drain();
+    if (Late) {
+      Entry_.abort();
+      Gate_.abort();
+    }
+    Timer_.expires_after(WriteTime);
+    Timer_.async_wait([this](const boost::system::error_code &Failure) {
+      if (!Failure)
+        stopAll();
+    });
+    return true;
+  }
+
+  void stopAll() {
+    Timer_.cancel();
+    CallerServer_.stop();
+    OperatorServer_.stop();
+    Supervisor_.stop();
+    Events_.write(now(), EventClass::Belief, "node", "stopped", {});
+    Io_.stop();
+  }
+
+  void handleOperator(const HttpRequest &Request, const HttpExchangePtr &Exchange) {
+    const std::string_view Path = pathOf(Request.Target_);
+    if (Path == "/healthz")
+      Exchange->respond(page(Fleet_.isReady() && !Draining_ ? 200 : 503, "text/plain", ""));
+    else if (Path == "/metrics")
+      Exchange->respond(page(200, "text/plain; version=0.0.4", Metrics_.text()));
+    else if (Path == "/state")
+      Exchange->respond(page(200, "application/json", dump().dump(2)));
+    else
+      Exchange->respond(page(404, "text/plain", "unknown page\n"));
+  }
+
+  nlohmann::json dump() {
+    nlohmann::json Result{{"host", Config_.Host_.str()},
+                          {"service", Config_.Service_.str()},
+                          {"incarnation", Run_},
+                          {"draining", Draining_},
+                          {"log_lines_dropped", Events_.dropped()},
+                          {"supervisor", Supervisor_.dump()}};
+    for (const Part *Child : children())
+      Result[std::string(Child->name())] = Child->dump();
+    return Result;
+  }
+
+  boost::asio::io_context &Io_;
+  Settings Config_;
+  HeaderNames Names_;
+  Incarnation Run_;
+  boost::asio::steady_timer Timer_;
+  Supervisor Supervisor_;
+  EventLog Events_;
+  PeerLinks Links_;
+  FleetState Fleet_;
+  std::unique_ptr<Part> Source_;
+  MeshMetrics Metrics_;
+  BackendGate Gate_;
+  RemoteCalls RemoteCalls_;
+  TeamSharePart Shares_;
+  Entry Entry_;
+  LinkWatch Watch_;
+  HttpServer CallerServer_;
+  HttpServer OperatorServer_;
+  bool Draining_ = false;
+  TimePoint DrainStart_;
+};
+
+MeshNode::MeshNode(boost::asio::io_context &Io, Settings Config, HeaderNames Names,
+                   const MakeSource &Source)
+    : Impl_(std::make_unique<Impl>(Io, std::move(Config), std::move(Names), Source)) {}
+MeshNode::~MeshNode() = default;
+absl::Status MeshNode::start() { return Impl_->start(); }
+void MeshNode::shutdown() { Impl_->shutdown(); }
+
+} // namespace bronzestand::node
--- a/src/node/codec_call.cpp
+++ b/src/node/codec_call.cpp
@@ -38,11 +38,22 @@
   In.at(1).get_to(Out.Threshold_);
 }
 
+void to_json(json &Out, const BackendLoad &In) {
+  Out = json::array({In.Running_, In.Waiting_, In.Limit_, In.ServiceTime_.count()});
+}
+
+void from_json(const json &In, BackendLoad &Out) {
+  In.at(0).get_to(Out.Running_);
+  In.at(1).get_to(Out.Waiting_);
+  In.at(2).get_to(Out.Limit_);
+  Out.ServiceTime_ = Duration(In.at(3).get<Duration::rep>());
+}
+
 void to_json(json &Out, const Call &In) {
   Out = json::array({In.Id_, In.Request_, In.Team_, In.Class_, In.Service_, In.Method_, In.Target_,
                      In.Headers_, toBinary(In.Body_), In.TimeLeft_.count(), In.Attempts_,
                      In.Standing_.value(), In.IdempotencyKey_, In.KeyId_, In.Fingerprint_,
-                     In.AtMostOnce_, In.Idempotent_});
+                     In.AtMostOnce_, In.Idempotent_, In.Objective_.count(), In.ConfigVersion_});
 }
 
 void from_json(const json &In, Call &Out) {
@@ -64,24 +75,28 @@
   In.at(14).get_to(Out.Fingerprint_);
   In.at(15).get_to(Out.AtMostOnce_);
   In.at(16).get_to(Out.Idempotent_);
+  Out.Objective_ = Duration(In.at(17).get<Duration::rep>());
+  In.at(18).get_to(Out.ConfigVersion_);
 }
 
 void to_json(json &Out, const Answer &In) {
   Out = json::array({In.Id_, static_cast<unsigned>(In.Outcome_), static_cast<unsigned>(In.Refusal_),
                      In.HttpStatus_, In.Headers_, toBinary(In.Body_), In.UnusedAttempts_,
-                     In.Levels_, In.Leaving_});
+                     In.Levels_, In.Leaving_, In.Load_, In.ConfigVersion_});
 }
 
 void from_json(const json &In, Answer &Out) {
   In.at(0).get_to(Out.Id_);
   Out.Outcome_ = checkedEnum(In.at(1), Outcome::Unknown);
-  Out.Refusal_ = checkedEnum(In.at(2), Refusal::OutcomeUnknown);
+  Out.Refusal_ = checkedEnum(In.at(2), Refusal::WrongBackend);
   In.at(3).get_to(Out.HttpStatus_);
   In.at(4).get_to(Out.Headers_);
   Out.Body_ = fromBinary(In.at(5));
   In.at(6).get_to(Out.UnusedAttempts_);
   In.at(7).get_to(Out.Levels_);
   In.at(8).get_to(Out.Leaving_);
+  In.at(9).get_to(Out.Load_);
+  In.at(10).get_to(Out.ConfigVersion_);
 }
 
 } // namespace bronzestand
--- a/src/node/codec_call.h
+++ b/src/node/codec_call.h
@@ -12,6 +12,8 @@
 void from_json(const nlohmann::json &In, Header &Out);
 void to_json(nlohmann::json &Out, const ServiceLevel &In);
 void from_json(const nlohmann::json &In, ServiceLevel &Out);
+void to_json(nlohmann::json &Out, const BackendLoad &In);
+void from_json(const nlohmann::json &In, BackendLoad &Out);
 void to_json(nlohmann::json &Out, const Call &In);
 void from_json(const nlohmann::json &In, Call &Out);
 void to_json(nlohmann::json &Out, const Answer &In);
--- a/src/node/config_part.cpp
+++ b/src/node/config_part.cpp
@@ -56,7 +56,6 @@
   for (const DataCentreId &DataCentre : std::exchange(ChangedDataCentres_, {}))
     updateHosts(DataCentre);
   apply(Spread_.tick(Now));
-  Links_.setRevisions(Spread_.covered(), ListRevision_);
 }
 
 void ConfigPart::connectPeers(TimePoint Now) {
@@ -105,7 +104,6 @@
     Catalogue_.erase(Path);
   updateKeys(Path);
   if (const DataCentreId DataCentre = dataCentreOf(Path); !DataCentre.empty()) {
-    ListRevision_ = std::max(ListRevision_, Effect.Revision_);
     hostsChanged(DataCentre);
   }
   // The regions of the data centres decide which readers are linked.
--- a/src/node/config_part.h
+++ b/src/node/config_part.h
@@ -71,7 +71,6 @@
   std::vector<ChangeCallback> OnChange_;
   LiveHosts LiveHosts_;
   std::set<DataCentreId> ChangedDataCentres_;
-  Revision ListRevision_ = 0;
   std::vector<Endpoint> StartPeers_; ///< in random order
   std::size_t NextStartPeer_ = 0;
   TimePoint NextConnect_;
--- a/src/node/envelope.h
+++ b/src/node/envelope.h
@@ -35,14 +35,16 @@
 /// What every message between nodes carries besides its body.
 struct Envelope {
   MessageKind Kind_ = MessageKind::Heartbeat;
-  HostId Sender_;
-  Incarnation Incarnation_ = 0;
   std::uint64_t Epoch_ = 0; ///< grows each time the sender was paused
-  Revision ConfigRevision_ = 0;
-  Revision ListRevision_ = 0;
   nlohmann::json Body_;
+  /// Set in messages of the handshake only, which prove them for all later messages of the link.
+  HostId Sender_;
+  Incarnation Incarnation_ = 0;
 };
 
+/// Tells whether messages of a kind open a link.
+bool isHandshake(MessageKind Kind);
+
 /// Encodes as a CBOR array.
 std::string encode(const Envelope &Message);
 
--- a/src/node/executor.h
+++ b/src/node/executor.h
@@ -7,6 +7,7 @@
 
 #include "node/admission_part.h"
 #include "node/call_contexts.h"
+#include "node/call_runner.h"
 #include "node/claims_part.h"
 #include "node/config_part.h"
 #include "node/crash_guard.h"
@@ -18,10 +19,8 @@
 namespace bronzestand::node {
 
 /// Runs calls on the local backend server (design sections 2 and 9).
-class Executor final : public Part {
+class Executor final : public Part, public CallRunner {
 public:
-  using Reply = std::function<void(Answer Result)>;
-
   Executor(boost::asio::io_context &Io, const Settings &Config, const ConfigPart &Documents,
            CallContexts &Contexts, ClaimsPart &Claims, CrashGuard &Guard, Metrics &Times,
            const AdmissionPart &Admission, CallAttempts &Attempts);
@@ -31,8 +30,11 @@
   /// \param Redirected incarnation in the redirect of another executor that brought the call here.
   void submit(const HostId &Caller, Call Request, Reply Done,
               std::optional<Incarnation> Redirected = std::nullopt);
+  void submitCall(const HostId &Caller, Call Request, Reply Done) override {
+    submit(Caller, std::move(Request), std::move(Done));
+  }
   /// Cancels a call that nobody needs any more, queued or running. It is still answered.
-  void cancel(const HostId &Caller, CallId Id);
+  void cancel(const HostId &Caller, CallId Id) override;
   /// Refuses queued calls whose key is no longer valid; call it after a change of the documents.
   void onKeysChanged();
   /// Refuses new calls from now on.
--- a/src/node/http_client.cpp
+++ b/src/node/http_client.cpp
@@ -1,13 +1,18 @@
 #include "node/http_client.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
+#include <charconv>
 #include <map>
 #include <optional>
 #include <utility>
 #include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <boost/smart_ptr/intrusive_ptr.hpp>
@@ -26,43 +31,93 @@
 constexpr std::uint64_t MaxResponseBytes = 4ULL * 1024 * 1024;
 constexpr std::uint32_t MaxResponseHeaderBytes = 64 * 1024;
 
+/// Answers that belong to earlier requests and are dropped before a connection is given up.
+constexpr int MaxForeignAnswers = 3;
+/// A kept connection is given up this long before the server's own limit.
+constexpr std::chrono::milliseconds KeepAliveMargin{500};
+
+/// Time that the server keeps an idle connection, from a Keep-Alive header.
+std::optional<std::chrono::seconds> keepAliveOf(std::string_view Value) {
+  constexpr std::string_view Name = "timeout=";
+  const std::size_t Start = Value.find(Name);
+  if (Start == std::string_view::npos)
+    return std::nullopt;
+  unsigned Seconds = 0;
+  const char *Begin = Value.data() + Start + Name.size();
+  if (std::from_chars(Begin, Value.data() + Value.size(), Seconds).ec != std::errc())
+    return std::nullopt;
+  return std::chrono::seconds(Seconds);
+}
+
+/// Seconds of silence before the first probe, between probes, and probes before the connection
+/// ends.
+constexpr int ProbeIdleS = 1;
+constexpr int ProbeIntervalS = 1;
+constexpr int ProbeCount = 2;
+
+void probeWhenSilent(tcp::socket &Socket) {
+  error_code Ignored;
+  Socket.set_option(asio::socket_base::keep_alive(true), Ignored);
+  const int Descriptor = Socket.native_handle();
+  ::setsockopt(Descriptor, IPPROTO_TCP, TCP_KEEPIDLE, &ProbeIdleS, sizeof(ProbeIdleS));
+  ::setsockopt(Descriptor, IPPROTO_TCP, TCP_KEEPINTVL, &ProbeIntervalS, sizeof(ProbeIntervalS));
+  ::setsockopt(Descriptor, IPPROTO_TCP, TCP_KEEPCNT, &ProbeCount, sizeof(ProbeCount));
+}
+
 /// One connection with at most one running request.
 class Connection : public boost::intrusive_ref_counter<Connection, boost::thread_unsafe_counter> {
 public:
   Connection(asio::io_context &Io, std::function<void(Connection &, bool Reusable)> OnFree)
-      : Stream_(Io), OnFree_(std::move(OnFree)) {}
+      : Socket_(Io), Timer_(Io), OnFree_(std::move(OnFree)) {}
 
   void run(const Endpoint &Server, HttpRequest &&Request, Duration Timeout, HttpCallback Callback,
-           HttpClient::MayWrite Check);
+           HttpClient::MayWrite Check, SendOptions Options);
   void cancel() { finish(HttpResult::Cancelled); }
-  /// Tells whether the server has closed or written to an idle connection.
+  /// Tells whether the connection can't carry another request.
   bool isStale();
+  bool wasIdleFor(Duration Limit) const { return Clock::now() - Freed_ > Limit; }
   void forget() { OnFree_ = nullptr; }
 
 private:
   using Ptr = boost::intrusive_ptr<Connection>;
+  using Clock = std::chrono::steady_clock;
+  using Parser = http::response_parser<http::string_body>;
 
+  void setTimer(Clock::time_point At);
   void write();
   void read();
-  void onFailure(const error_code &Failure);
+  void onAnswer();
   void finish(HttpResult Result);
 
-  beast::tcp_stream Stream_;
+  tcp::socket Socket_;
+  asio::steady_timer Timer_;
   std::function<void(Connection &, bool)> OnFree_;
   beast::flat_buffer Buffer_;
   std::optional<http::request<http::string_body>> Request_;
-  std::optional<http::response_parser<http::string_body>> Parser_;
+  std::optional<Parser> Parser_;
   HttpCallback Callback_;
   HttpClient::MayWrite MayWrite_;
+  SendOptions Options_;
+  std::string EchoValue_;
+  std::uint64_t Run_ = 0; ///< number of the request, so that handlers of an earlier one are ignored
+  int Foreign_ = 0;
   bool Connected_ = false;
   bool Sent_ = false;
+  bool Written_ = false;
+  Clock::time_point Limit_; ///< end of the running request
+  Clock::time_point Freed_;
+  Clock::time_point KeptUntil_ = Clock::time_point::max();
 };
 
 void Connection::run(const Endpoint &Server, HttpRequest &&Request, Duration Timeout,
-                     HttpCallback Callback, HttpClient::MayWrite Check) {
+                     HttpCallback Callback, HttpClient::MayWrite Check, SendOptions Options) {
   Callback_ = std::move(Callback);
   MayWrite_ = std::move(Check);
-  Sent_ = false;
+  Options_ = std::move(Options);
+  EchoValue_.clear();
+  Sent_ = Written_ = false;
+  Foreign_ = 0;
+  const std::uint64_t Run = ++Run_;
   Request_.emplace();
   Request_->version(11);
   Request_->method_string(Request.Method_);
@@ -72,35 +127,53 @@
     if (isHopByHop(Field.Name_))
       continue;
     HasHost = HasHost || sameName(Field.Name_, "Host");
+    if (!Options_.EchoHeader_.empty() && sameName(Field.Name_, Options_.EchoHeader_))
+      EchoValue_ = Field.Value_;
     Request_->insert(Field.Name_, Field.Value_);
   }
   if (!HasHost)
     Request_->set(http::field::host, Server.str());
   Request_->body() = std::move(Request.Body_);
   Request_->prepare_payload();
-  Stream_.expires_after(Timeout);
+  Limit_ = Clock::now() + Timeout;
   if (Connected_) {
+    setTimer(Limit_);
     write();
     return;
   }
+  setTimer(std::min<Clock::time_point>(Limit_, Clock::now() + Options_.ConnectTimeout_));
   error_code Failure;
   const tcp::endpoint Address(asio::ip::make_address(Server.Address_, Failure), Server.Port_);
-  Stream_.async_connect(Address, [Self = Ptr(this)](error_code ConnectFailure) {
+  Socket_.async_connect(Address, [Self = Ptr(this), Run](error_code ConnectFailure) {
+    if (Self->Run_ != Run || !Self->Callback_)
+      return;
     if (ConnectFailure) {
       Self->finish(HttpResult::NotSent);
       return;
     }
     error_code Ignored;
-    Self->Stream_.socket().set_option(tcp::no_delay(true), Ignored);
+    Self->Socket_.set_option(tcp::no_delay(true), Ignored);
+    if (Self->Options_.ProbeWhenSilent_)
+      probeWhenSilent(Self->Socket_);
     Self->Connected_ = true;
+    Self->setTimer(Self->Limit_);
     Self->write();
   });
 }
 
+void Connection::setTimer(Clock::time_point At) {
+  Timer_.expires_at(At);
+  Timer_.async_wait([Self = Ptr(this), Run = Run_](error_code Failure) {
+    if (!Failure && Self->Run_ == Run)
+      Self->finish(Self->Sent_ ? HttpResult::TimedOut : HttpResult::NotSent);
+  });
+}
+
+// A server that has closed an idle connection, or sent bytes that no request asked for.
 bool Connection::isStale() {
   char Byte = 0;
-  const ssize_t Count = ::recv(Stream_.socket().native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return Count >= 0 || errno != EAGAIN;
+  const ssize_t Count = ::recv(Socket_.native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return Count >= 0 || errno != EAGAIN || Clock::now() >= KeptUntil_;
 }
 
 void Connection::write() {
@@ -111,36 +184,57 @@
     return;
   }
   Sent_ = true;
-  http::async_write(Stream_, *Request_, [Self = Ptr(this)](error_code Failure, std::size_t) {
-    if (Failure)
-      Self->onFailure(Failure);
-    else
-      Self->read();
+  // The server may answer before it has read the whole body.
+  http::async_write(Socket_, *Request_, [Self = Ptr(this), Run = Run_](error_code, std::size_t) {
+    // A failed write shows at the read, behind an answer that the server may have sent before.
+    if (Self->Run_ == Run)
+      Self->Written_ = true;
   });
+  read();
 }
 
 void Connection::read() {
   Parser_.emplace();
   Parser_->body_limit(MaxResponseBytes);
   Parser_->header_limit(MaxResponseHeaderBytes);
-  http::async_read(Stream_, Buffer_, *Parser_, [Self = Ptr(this)](error_code Failure, std::size_t) {
-    if (Failure)
-      Self->onFailure(Failure);
-    else if (Self->Parser_->need_eof())
-      Self->finish(HttpResult::Lost); // only a length tells a whole body from a truncated one
-    else
-      Self->finish(HttpResult::Answered);
-  });
+  if (Request_->method() == http::verb::head)
+    Parser_->skip(true);
+  http::async_read(Socket_, Buffer_, *Parser_,
+                   [Self = Ptr(this), Run = Run_](error_code Failure, std::size_t) {
+                     if (Self->Run_ != Run || !Self->Callback_)
+                       return;
+                     // Only a length tells a whole body from one that was cut short, unless the
+                     // server says that it ends its answers by closing.
+                     const bool Cut = Self->Parser_->need_eof() && !Self->Options_.EndsByClose_;
+                     if (Failure || Cut)
+                       Self->finish(HttpResult::Lost);
+                     else
+                       Self->onAnswer();
+                   });
 }
 
-void Connection::onFailure(const error_code &Failure) {
-  finish(Failure == beast::error::timeout ? HttpResult::TimedOut : HttpResult::Lost);
+void Connection::onAnswer() {
+  const auto &Message = Parser_->get();
+  const bool Interim = Message.result_int() < 200;
+  const bool Foreign = !EchoValue_.empty() && Message.count(Options_.EchoHeader_) != 0 &&
+                       Message[Options_.EchoHeader_] != EchoValue_;
+  if (!Interim && !Foreign) {
+    finish(HttpResult::Answered);
+    return;
+  }
+  Foreign_ += Foreign ? 1 : 0;
+  if (Foreign_ > MaxForeignAnswers || !Message.keep_alive())
+    finish(HttpResult::Lost);
+  else
+    read();
 }
 
 void Connection::finish(HttpResult Result) {
   if (!Callback_)
     return;
   const Ptr Keep(this);
+  ++Run_;
+  Timer_.cancel();
   const HttpCallback Callback = std::exchange(Callback_, nullptr);
   MayWrite_ = nullptr;
   if (Result == HttpResult::Cancelled && !Sent_)
@@ -149,16 +243,20 @@
   bool Reusable = false;
   if (Result == HttpResult::Answered) {
     auto Message = Parser_->release();
-    Reusable = Message.keep_alive();
+    // Bytes behind the answer belong to no request.
+    Reusable = Message.keep_alive() && Written_ && Foreign_ == 0 && Buffer_.size() == 0;
+    if (const auto Kept = keepAliveOf(Message[http::field::keep_alive]))
+      KeptUntil_ = Clock::now() + *Kept - KeepAliveMargin;
     Response.Status_ = Message.result_int();
     for (const auto &Field : Message)
       if (!isHopByHop(std::string_view(Field.name_string().data(), Field.name_string().size())))
         Response.Headers_.push_back({std::string(Field.name_string()), std::string(Field.value())});
     Response.Body_ = std::move(Message.body());
   }
-  Stream_.expires_never();
+  Freed_ = Clock::now();
+  error_code Ignored;
   if (!Reusable)
-    Stream_.close();
+    Socket_.close(Ignored);
   if (OnFree_)
     OnFree_(*this, Reusable);
   Callback(Result, std::move(Response));
@@ -176,9 +274,10 @@
       Item->forget();
   }
 
-  RequestNumber send(HttpRequest Request, Duration Timeout, HttpCallback Callback, MayWrite Check) {
+  RequestNumber send(HttpRequest Request, Duration Timeout, HttpCallback Callback, MayWrite Check,
+                     SendOptions Options) {
     const RequestNumber Number = ++LastNumber_;
-    const auto Item = takeConnection();
+    const auto Item = takeConnection(Options.MaxIdle_);
     if (!Item) {
       asio::post(Io_, [Callback = std::move(Callback)] { Callback(HttpResult::NotSent, {}); });
       return Number;
@@ -192,10 +291,13 @@
             Alive->Running_.erase(Number);
           Callback(Result, std::move(Response));
         },
-        std::move(Check));
+        std::move(Check), std::move(Options));
     return Number;
   }
 
+  std::uint64_t opened() const { return Opened_; }
+  void closeIdle() { Idle_.clear(); }
+
   void cancel(RequestNumber Number) {
     const auto Found = Running_.find(Number);
     if (Found == Running_.end())
@@ -209,8 +311,9 @@
 private:
   using ConnectionPtr = boost::intrusive_ptr<Connection>;
 
-  ConnectionPtr takeConnection() {
-    while (!Idle_.empty()) {
+  ConnectionPtr takeConnection(Duration MaxIdle) {
+    // The connection at the back was used last.
+    while (!Idle_.empty() && !Idle_.back()->wasIdleFor(MaxIdle)) {
       ConnectionPtr Item = std::move(Idle_.back());
       Idle_.pop_back();
       if (!Item->isStale())
@@ -218,6 +321,9 @@
     }
     if (Running_.size() >= MaxConnections_)
       return nullptr;
+    if (connections() >= MaxConnections_)
+      Idle_.erase(Idle_.begin());
+    ++Opened_;
     return ConnectionPtr(
         new Connection(Io_, [Self = weak_from_this()](Connection &Item, bool Reusable) {
           const auto Alive = Self.lock();
@@ -232,15 +338,20 @@
   RequestNumber LastNumber_ = 0;
   std::map<RequestNumber, ConnectionPtr> Running_;
   std::vector<ConnectionPtr> Idle_;
+  std::uint64_t Opened_ = 0;
 };
 
 HttpClient::HttpClient(asio::io_context &Io, Endpoint Server, std::size_t MaxConnections)
     : Impl_(std::make_shared<Impl>(Io, std::move(Server), MaxConnections)) {}
 HttpClient::~HttpClient() = default;
 HttpClient::RequestNumber HttpClient::send(HttpRequest Request, Duration Timeout,
-                                           HttpCallback Callback, MayWrite Check) {
-  return Impl_->send(std::move(Request), Timeout, std::move(Callback), std::move(Check));
+                                           HttpCallback Callback, MayWrite Check,
+                                           SendOptions Options) {
+  return Impl_->send(std::move(Request), Timeout, std::move(Callback), std::move(Check),
+                     std::move(Options));
 }
+std::uint64_t HttpClient::opened() const { return Impl_->opened(); }
+void HttpClient::closeIdle() { Impl_->closeIdle(); }
 void HttpClient::cancel(RequestNumber Number) { Impl_->cancel(Number); }
 std::size_t HttpClient::connections() const { return Impl_->connections(); }
 
--- a/src/node/http_client.h
+++ b/src/node/http_client.h
@@ -23,6 +23,23 @@
 /// Called once per request. The response is valid only if the result is Answered.
 using HttpCallback = std::function<void(HttpResult Result, HttpResponse Response)>;
 
+/// How one request uses its connection.
+struct SendOptions {
+  /// A kept connection that was idle for longer is not used, because its server may have closed or
+  /// forgotten it.
+  Duration MaxIdle_ = std::chrono::hours(24);
+  /// Header of the request that each answer repeats; empty if the server does not. An answer with
+  /// another value belongs to an earlier request and is dropped.
+  std::string EchoHeader_;
+  /// Bound on opening a connection; the time of the whole request counts too.
+  Duration ConnectTimeout_ = std::chrono::hours(24);
+  /// Lets the system probe the connection while the server is silent, because it may take long to
+  /// answer and the connection may be dead.
+  bool ProbeWhenSilent_ = false;
+  /// Takes an answer without a length as whole when the server closes the connection.
+  bool EndsByClose_ = false;
+};
+
 /// HTTP/1.1 client of one server, with a pool of kept connections.
 class HttpClient {
 public:
@@ -39,10 +56,14 @@
 
   /// Sends a request and returns a number for cancel().
   RequestNumber send(HttpRequest Request, Duration Timeout, HttpCallback Callback,
-                     MayWrite Check = {});
+                     MayWrite Check = {}, SendOptions Options = {});
   /// Closes the connection of a running request, which tells the server that nobody waits.
   void cancel(RequestNumber Number);
   std::size_t connections() const;
+  /// Connections opened since the start.
+  std::uint64_t opened() const;
+  /// Closes the kept connections that no request uses.
+  void closeIdle();
 
 private:
   class Impl;
--- a/src/node/http_message.cpp
+++ b/src/node/http_message.cpp
@@ -4,6 +4,7 @@
 #include <array>
 
 #include <boost/algorithm/string/predicate.hpp>
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 namespace bronzestand::node {
@@ -13,6 +14,12 @@
     "connection", "keep-alive",        "proxy-connection", "te", "trailer", "upgrade",
     "expect",     "transfer-encoding", "content-length"};
 
+/// Whole seconds have no fraction, as every client understands them.
+std::string retryAfterText(std::optional<Duration> Time) {
+  const double Seconds = Time ? std::chrono::duration<double>(*Time).count() : 1.0;
+  return fmt::format("{:.3g}", Seconds);
+}
+
 } // namespace
 
 bool sameName(std::string_view A, std::string_view B) { return boost::iequals(A, B); }
@@ -31,7 +38,8 @@
 
 std::string_view pathOf(std::string_view Target) { return Target.substr(0, Target.find('?')); }
 
-HttpResponse refusalResponse(Refusal Reason, const RequestId &Request) {
+HttpResponse refusalResponse(Refusal Reason, const RequestId &Request,
+                             std::optional<Duration> RetryAfter) {
   const RefusalInfo &Info = refusalInfo(Reason);
   HttpResponse Response;
   Response.Status_ = Info.HttpStatus_;
@@ -39,7 +47,7 @@
                        {"Bronzestand-Outcome", std::string(outcomeName(Info.Outcome_))},
                        {"Bronzestand-Refusal", std::string(Info.Name_)}};
   if (Info.MayRetry_)
-    Response.Headers_.push_back({"Retry-After", "1"});
+    Response.Headers_.push_back({"Retry-After", retryAfterText(RetryAfter)});
   if (!Request.empty())
     Response.Headers_.push_back({"Bronzestand-Request-Id", Request.str()});
   Response.Body_ = nlohmann::json{
--- a/src/node/http_message.h
+++ b/src/node/http_message.h
@@ -21,6 +21,7 @@
   unsigned Status_ = 200;
   std::vector<Header> Headers_;
   std::string Body_;
+  bool Close_ = false; ///< the connection is closed behind this answer
 };
 
 /// Compares header names without regard to case.
@@ -36,7 +37,9 @@
 std::string_view pathOf(std::string_view Target);
 
 /// Makes the answer to a request that was not served (design section 2).
-HttpResponse refusalResponse(Refusal Reason, const RequestId &Request);
+/// \param RetryAfter sent with retryable refusals; one second if not given.
+HttpResponse refusalResponse(Refusal Reason, const RequestId &Request,
+                             std::optional<Duration> RetryAfter = std::nullopt);
 
 } // namespace bronzestand::node
 
--- a/src/node/http_server.cpp
+++ b/src/node/http_server.cpp
@@ -1,7 +1,9 @@
 #include "node/http_server.h"
 
 #include <algorithm>
+#include <deque>
 #include <iterator>
+#include <optional>
 
 #include <sys/socket.h>
 
@@ -22,6 +24,8 @@
 
 namespace {
 
+using Clock = std::chrono::steady_clock;
+
 /// What the server needs to know of a session. Sessions own themselves through the handlers of
 /// their pending operations; the list only enumerates them.
 class SessionBase : public boost::intrusive_ref_counter<SessionBase, boost::thread_unsafe_counter>,
@@ -34,11 +38,15 @@
   virtual bool isNew() const = 0;
   /// Closes the connection if no request arrives in time.
   virtual void closeUnlessUsed(std::chrono::milliseconds Limit) = 0;
+  /// Closes the connection if the caller was too slow or idle for too long.
+  virtual void checkTimeouts(Clock::time_point Now) = 0;
 };
 using SessionList = intrusive::list<SessionBase, intrusive::constant_time_size<false>>;
 
 /// A connection that was opened before a drain gets this long for its first request.
 constexpr std::chrono::milliseconds FirstRequestLimit{1000};
+/// Time-outs of callers are enforced to this precision.
+constexpr std::chrono::milliseconds TimeoutCheckInterval{250};
 
 /// State that the sessions of one server share.
 struct ServerState {
@@ -47,6 +55,7 @@
   SessionList Sessions_;
   std::size_t RunningRequests_ = 0;
   bool Draining_ = false;
+  bool Closing_ = false; ///< answers ask the callers to close
 };
 
 /// Maps a parse error to the refusal that the caller gets.
@@ -80,43 +89,61 @@
          Failure != http::error::end_of_stream && Failure != http::error::partial_message;
 }
 
+/// One connection. Requests are read ahead up to the pipelining limit; a slot holds the place of
+/// each answer until all earlier ones are written.
 class Session final : public SessionBase {
 public:
   Session(tcp::socket Socket, std::shared_ptr<ServerState> State)
-      : Stream_(std::move(Socket)), State_(std::move(State)) {}
+      : Socket_(std::move(Socket)), State_(std::move(State)) {}
 
   void readFirst() { readRequest(); }
-  void readNext();
   void respond(std::uint64_t RequestNumber, HttpResponse Response);
   void setCancel(std::uint64_t RequestNumber, std::function<void()> Callback);
   void close() override;
-  bool isIdle() override { return !Running_ && !Receiving_ && !hasInput(); }
-  bool isNew() const override { return RequestNumber_ == 0; }
+  bool isIdle() override { return Slots_.empty() && !Writing_ && !Receiving_ && !hasInput(); }
+  bool isNew() const override { return LastNumber_ == 0; }
   void closeUnlessUsed(std::chrono::milliseconds Limit) override;
+  void checkTimeouts(Clock::time_point Now) override;
 
 private:
   friend class Exchange;
   using Parser = http::request_parser<http::string_body>;
+  struct Slot {
+    std::uint64_t Number_ = 0;
+    bool KeepAlive_ = true;
+    std::optional<HttpResponse> Response_;
+    std::function<void()> Cancel_;
+  };
 
   bool hasInput();
-  void onRead(const error_code &Failure);
+  Slot *find(std::uint64_t Number);
+  Slot &addSlot(bool KeepAlive);
   void readRequest();
+  void readHeader();
+  void onHeader(const error_code &Failure);
+  void onRead(const error_code &Failure);
   void refuse(Refusal Reason);
   void handle();
-  void watchForClose();
-  void write(HttpResponse Response, bool KeepAlive);
-  void finishRequest();
+  void readMore();
+  void writeNext();
+  void onWritten(const error_code &Failure, bool KeepAlive);
+  void onCallerGone();
 
-  beast::tcp_stream Stream_;
+  tcp::socket Socket_;
   std::shared_ptr<ServerState> State_;
   beast::flat_buffer Buffer_;
   std::optional<Parser> Parser_;
-  std::optional<http::response<http::string_body>> Response_;
-  std::function<void()> Cancel_;
-  std::uint64_t RequestNumber_ = 0;
-  bool KeepAlive_ = true;
-  bool Running_ = false;
-  bool Receiving_ = false; ///< the header has arrived, the body has not
+  std::deque<Slot> Slots_;
+  std::string Output_;
+  std::uint64_t LastNumber_ = 0;
+  /// When the pending read or write ends the connection; max() if nothing limits it.
+  Clock::time_point ReadLimit_ = Clock::time_point::max();
+  Clock::time_point WriteLimit_ = Clock::time_point::max();
+  bool Reading_ = false;
+  bool Receiving_ = false; ///< a request has arrived in part
+  bool Writing_ = false;
+  bool NoMore_ = false; ///< no further request is read
+  bool Closed_ = false;
 };
 using SessionPtr = boost::intrusive_ptr<Session>;
 
@@ -137,66 +164,135 @@
   std::uint64_t Number_;
 };
 
+bool hasNoBody(unsigned Status) { return Status < 200 || Status == 204 || Status == 304; }
+
+std::string serialize(const HttpResponse &Response, bool KeepAlive) {
+  std::string Text = "HTTP/1.1 " + std::to_string(Response.Status_) + " ";
+  const beast::string_view Reason = http::obsolete_reason(http::int_to_status(Response.Status_));
+  Text.append(Reason.data(), Reason.size()).append("\r\n");
+  for (const Header &Field : Response.Headers_)
+    if (!isHopByHop(Field.Name_))
+      Text.append(Field.Name_).append(": ").append(Field.Value_).append("\r\n");
+  if (!KeepAlive)
+    Text.append("Connection: close\r\n");
+  if (!hasNoBody(Response.Status_))
+    Text.append("Content-Length: ").append(std::to_string(Response.Body_.size())).append("\r\n");
+  Text.append("\r\n");
+  if (!hasNoBody(Response.Status_))
+    Text.append(Response.Body_);
+  return Text;
+}
+
 bool Session::hasInput() {
   error_code Failure;
-  return Buffer_.size() != 0 || (Stream_.socket().available(Failure) != 0 && !Failure);
+  return Buffer_.size() != 0 || (Socket_.available(Failure) != 0 && !Failure);
+}
+
+Session::Slot *Session::find(std::uint64_t Number) {
+  const auto Found = std::find_if(Slots_.begin(), Slots_.end(),
+                                  [&](const Slot &Item) { return Item.Number_ == Number; });
+  return Found == Slots_.end() ? nullptr : &*Found;
+}
+
+Session::Slot &Session::addSlot(bool KeepAlive) {
+  ++State_->RunningRequests_;
+  Slots_.emplace_back();
+  Slots_.back().Number_ = ++LastNumber_;
+  Slots_.back().KeepAlive_ = KeepAlive;
+  return Slots_.back();
 }
 
 void Session::closeUnlessUsed(std::chrono::milliseconds Limit) {
-  const auto Timer = std::make_shared<asio::steady_timer>(Stream_.get_executor(), Limit);
+  const auto Timer = std::make_shared<asio::steady_timer>(Socket_.get_executor(), Limit);
   Timer->async_wait([Self = SessionPtr(this), Timer](error_code) {
     if (Self->isIdle())
       Self->close();
   });
 }
 
-void Session::readNext() {
-  // A pipelined request that has arrived is still answered.
-  if (State_->Draining_ && !hasInput()) {
+void Session::checkTimeouts(Clock::time_point Now) {
+  if (Now >= ReadLimit_ || Now >= WriteLimit_)
     close();
-    return;
-  }
-  readRequest();
 }
 
 void Session::readRequest() {
+  Reading_ = true;
+  Receiving_ = Buffer_.size() != 0;
   Parser_.emplace();
   Parser_->header_limit(State_->Limits_.HeaderBytes_);
   Parser_->body_limit(State_->Limits_.BodyBytes_);
-  const bool Started = Buffer_.size() != 0;
-  Stream_.expires_after(Started ? State_->Limits_.ReadTimeout_ : State_->Limits_.IdleTimeout_);
-  http::async_read_header(Stream_, Buffer_, *Parser_,
-                          [Self = SessionPtr(this)](error_code Failure, std::size_t) {
-                            if (Failure) {
-                              Self->onRead(Failure);
-                              return;
-                            }
-                            Self->Receiving_ = true;
-                            Self->Stream_.expires_after(Self->State_->Limits_.ReadTimeout_);
-                            http::async_read(Self->Stream_, Self->Buffer_, *Self->Parser_,
-                                             [Self](error_code BodyFailure, std::size_t) {
-                                               Self->onRead(BodyFailure);
-                                             });
-                          });
+  // A connection with unanswered requests is not idle.
+  if (Slots_.empty())
+    ReadLimit_ =
+        Clock::now() + (Receiving_ ? State_->Limits_.HeaderTimeout_ : State_->Limits_.IdleTimeout_);
+  else
+    ReadLimit_ = Clock::time_point::max();
+  if (Receiving_) {
+    readHeader();
+    return;
+  }
+  // The time for the header counts from its first byte.
+  Socket_.async_wait(tcp::socket::wait_read, [Self = SessionPtr(this)](error_code Failure) {
+    if (Failure || Self->Closed_) {
+      Self->onHeader(Failure);
+      return;
+    }
+    Self->ReadLimit_ = Clock::now() + Self->State_->Limits_.HeaderTimeout_;
+    Self->readHeader();
+  });
+}
+
+void Session::readHeader() {
+  http::async_read_header(
+      Socket_, Buffer_, *Parser_,
+      [Self = SessionPtr(this)](error_code Failure, std::size_t) { Self->onHeader(Failure); });
+}
+
+void Session::onHeader(const error_code &Failure) {
+  if (Failure) {
+    onRead(Failure);
+    return;
+  }
+  Receiving_ = true;
+  ReadLimit_ = Clock::now() + State_->Limits_.ReadTimeout_;
+  http::async_read(
+      Socket_, Buffer_, *Parser_,
+      [Self = SessionPtr(this)](error_code Failed, std::size_t) { Self->onRead(Failed); });
 }
 
 void Session::onRead(const error_code &Failure) {
+  Reading_ = false;
   Receiving_ = false;
-  Stream_.expires_never();
-  if (!Failure) {
+  ReadLimit_ = Clock::time_point::max();
+  if (Closed_)
+    return;
+  if (!Failure)
     handle();
-  } else if (isParseError(Failure)) {
+  else if (isParseError(Failure))
     refuse(refusalOf(Failure));
-  } else {
+  else
+    onCallerGone();
+}
+
+void Session::onCallerGone() {
+  NoMore_ = true;
+  const bool HasAnswers = Writing_ || (!Slots_.empty() && Slots_.front().Response_);
+  // Answers that are ready are still written, because the caller may have closed one side only.
+  std::vector<std::function<void()>> Callbacks;
+  for (Slot &Item : Slots_)
+    if (Item.Cancel_)
+      Callbacks.push_back(std::exchange(Item.Cancel_, nullptr));
+  const SessionPtr Keep(this);
+  for (const auto &Callback : Callbacks)
+    Callback();
+  if (Slots_.empty() || (!HasAnswers && !Callbacks.empty()))
     close();
-  }
 }
 
 void Session::refuse(Refusal Reason) {
-  Running_ = true;
-  ++State_->RunningRequests_;
-  ++RequestNumber_;
-  write(refusalResponse(Reason, RequestId()), false);
+  NoMore_ = true;
+  const std::uint64_t Number = addSlot(false).Number_;
+  respond(Number, refusalResponse(Reason, RequestId()));
 }
 
 void Session::handle() {
@@ -205,81 +301,109 @@
     refuse(Refusal::BadRequest);
     return;
   }
-  KeepAlive_ = Message.keep_alive();
+  NoMore_ = !Message.keep_alive();
+  const std::uint64_t Number = addSlot(Message.keep_alive()).Number_;
   HttpRequest Request;
   Request.Method_ = std::string(Message.method_string());
   Request.Target_ = std::string(Message.target());
   for (const auto &Field : Message)
     Request.Headers_.push_back({std::string(Field.name_string()), std::string(Field.value())});
   Request.Body_ = std::move(Message.body());
-  Running_ = true;
-  ++State_->RunningRequests_;
-  ++RequestNumber_;
-  const HttpExchangePtr Current(new Exchange(SessionPtr(this), RequestNumber_));
-  watchForClose();
+  const HttpExchangePtr Current(new Exchange(SessionPtr(this), Number));
+  const SessionPtr Keep(this);
   State_->Handler_(std::move(Request), Current);
+  readMore();
 }
 
-void Session::watchForClose() {
-  const std::uint64_t Number = RequestNumber_;
-  Stream_.socket().async_wait(
-      tcp::socket::wait_read, [Self = SessionPtr(this), Number](error_code Failure) {
-        if (!Self->Running_ || Self->RequestNumber_ != Number || !Self->Cancel_)
-          return;
-        char Byte = 0;
-        const ssize_t Count =
-            ::recv(Self->Stream_.socket().native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        const bool Closed = Failure || Count == 0 || (Count < 0 && errno != EAGAIN);
-        // Readable data is a pipelined request; it is read after this answer.
-        if (Closed)
-          std::exchange(Self->Cancel_, nullptr)();
-      });
+/// Reads on, also while requests run, because the end of the connection cancels them.
+void Session::readMore() {
+  if (Closed_ || Reading_)
+    return;
+  if (!NoMore_ && Slots_.size() < State_->Limits_.Pipelined_) {
+    readRequest();
+    return;
+  }
+  if (Slots_.empty())
+    return;
+  Reading_ = true;
+  Socket_.async_wait(tcp::socket::wait_read, [Self = SessionPtr(this)](error_code Failure) {
+    Self->Reading_ = false;
+    if (Self->Closed_)
+      return;
+    char Byte = 0;
+    const ssize_t Count = ::recv(Self->Socket_.native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (Failure || Count == 0 || (Count < 0 && errno != EAGAIN))
+      Self->onCallerGone();
+    else if (!Self->NoMore_ && Self->Slots_.size() < Self->State_->Limits_.Pipelined_)
+      Self->readMore();
+  });
 }
 
 void Session::setCancel(std::uint64_t RequestNumber, std::function<void()> Callback) {
-  if (Running_ && RequestNumber == RequestNumber_)
-    Cancel_ = std::move(Callback);
+  if (Slot *Item = find(RequestNumber); Item != nullptr && !Item->Response_)
+    Item->Cancel_ = std::move(Callback);
 }
 
 void Session::respond(std::uint64_t RequestNumber, HttpResponse Response) {
-  if (!Running_ || RequestNumber != RequestNumber_ || Response_)
+  Slot *Item = find(RequestNumber);
+  if (Item == nullptr || Item->Response_)
     return;
-  write(std::move(Response), KeepAlive_ && (!State_->Draining_ || hasInput()));
+  Item->Response_ = std::move(Response);
+  Item->Cancel_ = nullptr;
+  writeNext();
 }
 
-void Session::write(HttpResponse Response, bool KeepAlive) {
-  Cancel_ = nullptr;
-  Response_.emplace(http::int_to_status(Response.Status_), 11U);
-  Response_->result(Response.Status_);
-  for (const Header &Field : Response.Headers_)
-    if (!isHopByHop(Field.Name_))
-      Response_->insert(Field.Name_, Field.Value_);
-  Response_->keep_alive(KeepAlive);
-  Response_->body() = std::move(Response.Body_);
-  Response_->prepare_payload();
-  Stream_.expires_after(State_->Limits_.ReadTimeout_);
-  http::async_write(Stream_, *Response_,
+void Session::writeNext() {
+  if (Closed_ || Writing_ || Slots_.empty() || !Slots_.front().Response_)
+    return;
+  Slot Item = std::move(Slots_.front());
+  Slots_.pop_front();
+  --State_->RunningRequests_;
+  // A request that has arrived is still answered on this connection.
+  const bool Last = Slots_.empty() && !Receiving_ && !hasInput();
+  const bool KeepAlive = Item.KeepAlive_ && !Item.Response_->Close_ &&
+                         !((State_->Draining_ || State_->Closing_) && Last);
+  Output_ = serialize(*Item.Response_, KeepAlive);
+  Writing_ = true;
+  WriteLimit_ = Clock::now() + State_->Limits_.ReadTimeout_;
+  asio::async_write(Socket_, asio::buffer(Output_),
                     [Self = SessionPtr(this), KeepAlive](error_code Failure, std::size_t) {
-                      Self->finishRequest();
-                      if (Failure || !KeepAlive)
-                        Self->close();
-                      else
-                        Self->readNext();
+                      Self->onWritten(Failure, KeepAlive);
                     });
 }
 
-void Session::finishRequest() {
-  Response_.reset();
-  if (std::exchange(Running_, false))
-    --State_->RunningRequests_;
+void Session::onWritten(const error_code &Failure, bool KeepAlive) {
+  Writing_ = false;
+  WriteLimit_ = Clock::time_point::max();
+  if (Closed_)
+    return;
+  if (Failure || !KeepAlive || (NoMore_ && Slots_.empty())) {
+    close();
+    return;
+  }
+  writeNext();
+  if (!Writing_ && Slots_.empty() && State_->Draining_ && !Receiving_ && !hasInput()) {
+    close();
+    return;
+  }
+  if (Slots_.empty() && Reading_ && !Receiving_ && !Writing_ && Buffer_.size() == 0)
+    ReadLimit_ = Clock::now() + State_->Limits_.IdleTimeout_;
+  readMore();
 }
 
 void Session::close() {
+  if (std::exchange(Closed_, true))
+    return;
+  const SessionPtr Keep(this);
   error_code Ignored;
-  Stream_.socket().shutdown(tcp::socket::shutdown_both, Ignored);
-  Stream_.close();
-  if (auto Callback = std::exchange(Cancel_, nullptr))
-    Callback();
+  Socket_.shutdown(tcp::socket::shutdown_both, Ignored);
+  Socket_.close(Ignored);
+  State_->RunningRequests_ -= Slots_.size();
+  std::deque<Slot> Slots = std::move(Slots_);
+  Slots_.clear();
+  for (const Slot &Item : Slots)
+    if (Item.Cancel_)
+      Item.Cancel_();
 }
 
 } // namespace
@@ -287,7 +411,7 @@
 class HttpServer::Impl {
 public:
   Impl(asio::io_context &Io, Endpoint Listen, HttpServerLimits Limits, HttpHandler Handler)
-      : Io_(Io), Listen_(std::move(Listen)), Acceptor_(Io),
+      : Io_(Io), Listen_(std::move(Listen)), Acceptor_(Io), TimeoutTimer_(Io),
         State_(std::make_shared<ServerState>()) {
     State_->Limits_ = Limits;
     State_->Handler_ = std::move(Handler);
@@ -307,9 +431,13 @@
     if (Failure)
       return makeError({ErrorCode::ListenFailed, Listen_.str(), "", Failure.message()});
     accept();
+    checkTimeouts();
     return absl::OkStatus();
   }
 
+  void setLimits(const HttpServerLimits &Limits) { State_->Limits_ = Limits; }
+  void announceClose() { State_->Closing_ = true; }
+
   void drain() {
     State_->Draining_ = true;
     acceptWaiting();
@@ -323,6 +451,7 @@
 
   void stop() {
     drain();
+    TimeoutTimer_.cancel();
     closeWhere([](SessionBase &) { return true; });
   }
 
@@ -371,9 +500,25 @@
     });
   }
 
+  void checkTimeouts() {
+    TimeoutTimer_.expires_after(TimeoutCheckInterval);
+    TimeoutTimer_.async_wait([this, State = State_](error_code Failure) {
+      if (Failure)
+        return;
+      std::vector<boost::intrusive_ptr<SessionBase>> Items;
+      for (SessionBase &Item : State->Sessions_)
+        Items.emplace_back(&Item);
+      const auto Now = Clock::now();
+      for (const auto &Item : Items)
+        Item->checkTimeouts(Now);
+      checkTimeouts();
+    });
+  }
+
   asio::io_context &Io_;
   Endpoint Listen_;
   tcp::acceptor Acceptor_;
+  asio::steady_timer TimeoutTimer_;
   std::shared_ptr<ServerState> State_;
 };
 
@@ -382,6 +527,8 @@
     : Impl_(std::make_unique<Impl>(Io, std::move(Listen), Limits, std::move(Handler))) {}
 HttpServer::~HttpServer() = default;
 absl::Status HttpServer::start() { return Impl_->start(); }
+void HttpServer::setLimits(const HttpServerLimits &Limits) { Impl_->setLimits(Limits); }
+void HttpServer::announceClose() { Impl_->announceClose(); }
 void HttpServer::drain() { Impl_->drain(); }
 void HttpServer::stop() { Impl_->stop(); }
 std::size_t HttpServer::connections() const { return Impl_->connections(); }
--- a/src/node/http_server.h
+++ b/src/node/http_server.h
@@ -31,13 +31,18 @@
 struct HttpServerLimits {
   std::uint32_t HeaderBytes_ = 16 * 1024;
   std::uint64_t BodyBytes_ = 1024ULL * 1024;
-  /// A request that takes longer to arrive is dropped, so that slow senders hold no connection.
-  std::chrono::seconds ReadTimeout_{15};
-  std::chrono::seconds IdleTimeout_{60};
+  /// A header that takes longer to arrive is dropped, so that slow senders hold no connection.
+  std::chrono::milliseconds HeaderTimeout_{15'000};
+  /// The same for the whole request, and for a caller that does not read its answer.
+  std::chrono::milliseconds ReadTimeout_{15'000};
+  std::chrono::milliseconds IdleTimeout_{60'000};
   std::size_t Connections_ = 1024;
+  /// Pipelined requests of one connection that are handled at the same time, at least 1.
+  std::size_t Pipelined_ = 1;
 };
 
-/// HTTP/1.1 server with keep-alive and pipelining. Runs on one io_context thread.
+/// HTTP/1.1 server with keep-alive and pipelining; answers leave in the order of their requests.
+/// Runs on one io_context thread.
 class HttpServer {
 public:
   HttpServer(boost::asio::io_context &Io, Endpoint Listen, HttpServerLimits Limits,
@@ -47,6 +52,10 @@
   ~HttpServer();
 
   absl::Status start();
+  /// Replaces the limits; they hold for the requests that are read from now on.
+  void setLimits(const HttpServerLimits &Limits);
+  /// From now on each answer asks its caller to close the connection; new ones are still accepted.
+  void announceClose();
   /// Stops accepting connections and closes idle ones; running requests are finished.
   void drain();
   /// Closes everything at once.
--- a/src/node/link_part.cpp
+++ b/src/node/link_part.cpp
@@ -15,7 +15,7 @@
 /// Size of the frame of a call. Numbers of the envelope are taken at their largest.
 std::size_t sizeOf(const Call &Request) {
   constexpr auto Largest = std::numeric_limits<std::uint64_t>::max();
-  return encode({MessageKind::Call, HostId(), Largest, Largest, Largest, Largest, Request}).size();
+  return encode({MessageKind::Call, Largest, Request, HostId(), 0}).size();
 }
 
 } // namespace
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -2,13 +2,17 @@
 #include <functional>
 #include <iostream>
 #include <map>
+#include <memory>
 #include <string>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <docopt/docopt.h>
 
+#include "mesh/mesh_node.h"
 #include "node/node.h"
+#include "store_watch.h"
+#include "wire_names.h"
 
 namespace {
 
@@ -29,23 +33,18 @@
 
 enum ExitCode { Stopped = 0, SettingsInvalid = 1, UsageInvalid = 2, StartFailed = 3 };
 
-int run(const bronzestand::node::Settings &Config) {
-  using namespace bronzestand::node;
-  configureLogging(Config.Log_);
-  std::signal(SIGPIPE, SIG_IGN);
-  boost::asio::io_context Io(1);
-  Node Daemon(Io, Config);
+template <typename Daemon> int serve(boost::asio::io_context &Io, Daemon &Running) {
   boost::asio::signal_set Signals(Io, SIGTERM, SIGINT);
   std::function<void()> WaitForSignal = [&] {
     Signals.async_wait([&](const boost::system::error_code &Failure, int) {
       if (Failure)
         return;
-      Daemon.shutdown();
+      Running.shutdown();
       WaitForSignal();
     });
   };
   WaitForSignal();
-  const absl::Status Result = Daemon.start();
+  const absl::Status Result = Running.start();
   if (!Result.ok()) {
     std::cerr << "bronzestandd: " << Result.message() << "\n";
     return StartFailed;
@@ -54,6 +53,26 @@
   return Stopped;
 }
 
+std::unique_ptr<bronzestand::node::Part> makeStoreWatch(boost::asio::io_context &Io,
+                                                        const bronzestand::node::Settings &Config,
+                                                        bronzestand::node::FleetState &Fleet,
+                                                        bronzestand::node::EventLog &Events) {
+  return std::make_unique<bronzestand::platform::StoreWatch>(Io, Config, Fleet, Events);
+}
+
+int run(const bronzestand::node::Settings &Config) {
+  using namespace bronzestand::node;
+  configureLogging(Config.Log_);
+  std::signal(SIGPIPE, SIG_IGN);
+  boost::asio::io_context Io(1);
+  if (Config.Mesh_) {
+    MeshNode Daemon(Io, Config, bronzestand::platform::headerNames(), makeStoreWatch);
+    return serve(Io, Daemon);
+  }
+  Node Daemon(Io, Config);
+  return serve(Io, Daemon);
+}
+
 } // namespace
 
 int main(int argc, char **argv) {
--- a/src/node/metrics.h
+++ b/src/node/metrics.h
@@ -6,35 +6,13 @@
 #include <string_view>
 #include <tuple>
 
-#include <boost/histogram.hpp>
-
 #include "node/config_part.h"
 #include "node/part.h"
 #include "node/recent_requests.h"
+#include "node/time_histogram.h"
 
 namespace bronzestand::node {
 
-/// Histogram of times from 10 us to 100 s, five buckets per decade.
-class TimeHistogram {
-public:
-  TimeHistogram();
-  void add(Duration Time);
-  /// Upper bound of the bucket that holds a quantile, in seconds; 0 without any time.
-  /// \param Quantile 0 to 1.
-  double quantile(double Quantile) const;
-  nlohmann::json dump() const;
-  /// Appends the lines of a Prometheus histogram.
-  /// \param Labels text within the braces, empty or ending in a comma.
-  void print(std::string &Out, std::string_view Name, const std::string &Labels) const;
-
-private:
-  using Axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
-
-  boost::histogram::histogram<std::tuple<Axis>> Buckets_;
-  std::uint64_t Count_ = 0;
-  double SumSeconds_ = 0.0;
-};
-
 /// Counters and times of this node, in the dump and as Prometheus text (design section 12).
 /// Labels are bounded: classes and teams that are not in the configuration count as "other", and a
 /// request without one as "none".
--- a/src/node/peer_links.cpp
+++ b/src/node/peer_links.cpp
@@ -174,8 +174,6 @@
   std::vector<LinkUpCallback> LinkUp_;
   HeardCallback Heard_;
   std::vector<HostDownCallback> HostDown_;
-  Revision ConfigRevision_ = 0;
-  Revision ListRevision_ = 0;
   std::uint64_t Epoch_ = 0;
   bool Leaving_ = false;
 
@@ -291,7 +289,7 @@
       else
         handshake(*Item, *Message);
     } catch (const json::exception &Failure) {
-      Log_->warn("malformed {} from {}", messageKindName(Message->Kind_), Message->Sender_.str());
+      Log_->warn("malformed {} from {}", messageKindName(Message->Kind_), Item->Peer_.Host_.str());
     }
   }
 
@@ -351,9 +349,6 @@
   }
 
   void deliver(Link &Item, const Envelope &Message) {
-    // The sender proved its name when the link was opened; a frame cannot claim another one.
-    if (Message.Sender_ != Item.Peer_.Host_ || Message.Incarnation_ != Item.Peer_.Incarnation_)
-      return;
     // Messages from before a pause of the sender rest on state that it has dropped.
     if (Message.Epoch_ < Item.Peer_.Epoch_)
       return;
@@ -369,8 +364,7 @@
   }
 
   bool write(Link &Item, MessageKind Kind, const json &Body) {
-    const std::string Frame =
-        encode({Kind, Config_.Host_, Run_, Epoch_, ConfigRevision_, ListRevision_, Body});
+    const std::string Frame = encode({Kind, Epoch_, Body, Config_.Host_, Run_});
     websocketpp::lib::error_code Failure;
     if (Item.Outgoing_)
       Client_.send(Item.Handle_, Frame, websocketpp::frame::opcode::binary, Failure);
@@ -512,10 +506,6 @@
 void PeerLinks::addLinkUp(LinkUpCallback Callback) {
   Impl_->LinkUp_.push_back(std::move(Callback));
 }
-void PeerLinks::setRevisions(Revision Config, Revision List) {
-  Impl_->ConfigRevision_ = Config;
-  Impl_->ListRevision_ = List;
-}
 void PeerLinks::setHeard(HeardCallback Callback) { Impl_->Heard_ = std::move(Callback); }
 void PeerLinks::addHostDown(HostDownCallback Callback) {
   Impl_->HostDown_.push_back(std::move(Callback));
--- a/src/node/peer_links.h
+++ b/src/node/peer_links.h
@@ -60,8 +60,6 @@
   /// Told of every message that is written, with its size.
   using SentCounter = std::function<void(const HostId &To, MessageKind Kind, std::size_t Bytes)>;
   void setSentCounter(SentCounter Count);
-  /// Revisions that every message from now on carries.
-  void setRevisions(Revision Config, Revision List);
   /// Sets the epoch of all messages from now on, after this process was paused.
   void setEpoch(std::uint64_t Epoch);
   /// Says in later handshakes that this host leaves.
--- a/src/node/remote_calls.cpp
+++ b/src/node/remote_calls.cpp
@@ -19,8 +19,8 @@
 
 } // namespace
 
-RemoteCalls::RemoteCalls(Executor &Local, PeerLinks &Links, Incarnation Run)
-    : Executor_(Local), Links_(Links), Run_(Run) {}
+RemoteCalls::RemoteCalls(CallRunner &Local, PeerLinks &Links, Incarnation Run)
+    : Runner_(Local), Links_(Links), Run_(Run) {}
 
 absl::Status RemoteCalls::start() {
   Links_.setHandler(MessageKind::Call,
@@ -73,8 +73,8 @@
     return;
   }
   callerOf(Host).Running_.insert(Id);
-  Executor_.submit(Host, std::move(Request),
-                   [this, Host](const Answer &Result) { onFinished(Host, Result); });
+  Runner_.submitCall(Host, std::move(Request),
+                     [this, Host](const Answer &Result) { onFinished(Host, Result); });
 }
 
 void RemoteCalls::onFinished(const HostId &Host, const Answer &Result) {
@@ -138,7 +138,7 @@
 void RemoteCalls::onCancel(const Peer &From, CallId Id) {
   Caller &Owner = callerOf(From.Host_);
   if (Owner.Running_.count(Id) != 0)
-    Executor_.cancel(From.Host_, Id);
+    Runner_.cancel(From.Host_, Id);
   else if (!knownEnd(From.Host_, Id))
     refuseForGood(Owner, Id); // the cancellation has overtaken the call
 }
--- a/src/node/remote_calls.h
+++ b/src/node/remote_calls.h
@@ -7,7 +7,7 @@
 #include <unordered_map>
 #include <utility>
 
-#include "node/executor.h"
+#include "node/call_runner.h"
 #include "node/peer_links.h"
 
 namespace bronzestand::node {
@@ -17,7 +17,7 @@
 /// its call. A call that never arrived is refused for good, so that "not run" stays true.
 class RemoteCalls final : public Part {
 public:
-  RemoteCalls(Executor &Local, PeerLinks &Links, Incarnation Run);
+  RemoteCalls(CallRunner &Local, PeerLinks &Links, Incarnation Run);
 
   std::string_view name() const override { return "remote_calls"; }
   absl::Status start() override;
@@ -51,7 +51,7 @@
   void refuseForGood(Caller &Owner, CallId Id);
   void forgetOldest();
 
-  Executor &Executor_;
+  CallRunner &Runner_;
   PeerLinks &Links_;
   Incarnation Run_;
   std::unordered_map<HostId, Caller> Callers_;
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -89,6 +89,24 @@
   return Log;
 }
 
+/// Part of the fleet's retry budget that nodes spend on their own retries; the rest covers the
+/// calls that a repeated request makes in turn.
+constexpr double OwnRetryShare = 0.5;
+
+MeshSettings readMesh(YamlReader Reader) {
+  MeshSettings Mesh;
+  Mesh.Store_ = readEndpoint(Reader, "store", Reader.text("store"));
+  YamlReader Regions = Reader.map("regions");
+  for (const std::string &Name : Regions.fieldNames())
+    Mesh.Regions_[Name] = Regions.text(Name.c_str());
+  Mesh.RetryRatio_ = OwnRetryShare * Reader.number("retry_ratio", 0.0, 10.0, false, 0.2);
+  Mesh.RetryAllowance_ = OwnRetryShare * Reader.number("retry_allowance", 0.0, 1e6, false, 20.0);
+  Mesh.GracePeriod_ = std::chrono::milliseconds(
+      static_cast<std::int64_t>(1000.0 * Reader.number("grace_seconds", 1.0, 3600.0, false, 6.0)));
+  Reader.finish();
+  return Mesh;
+}
+
 } // namespace
 
 std::string_view mechanismName(Mechanism Value) {
@@ -125,10 +143,12 @@
   Out.Service_ = ServiceId(Reader.text("service"));
   for (const EndpointField &Field : EndpointFields)
     Out.*Field.Member_ = readEndpoint(Reader, Field.Name_, Reader.text(Field.Name_));
-  Out.Platform_ = readEndpoints(Reader, "platform", true);
+  if (Reader.has("mesh"))
+    Out.Mesh_ = readMesh(Reader.map("mesh"));
+  Out.Platform_ = readEndpoints(Reader, "platform", !Out.Mesh_);
   Out.Peers_ = readEndpoints(Reader, "peers", false);
-  Out.PeerSecret_ = Reader.text("peer_secret");
-  if (Out.PeerSecret_.size() < MinSecretLength)
+  Out.PeerSecret_ = Reader.text("peer_secret", !Out.Mesh_);
+  if (!Out.Mesh_ && Out.PeerSecret_.size() < MinSecretLength)
     Reader.fail(ErrorCode::OutOfRange, "peer_secret", "must have at least 16 characters");
   Out.DrainLimit_ =
       std::chrono::milliseconds(Reader.integer("drain_limit_ms", 0, 3'600'000, false, 30'000));
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -1,9 +1,11 @@
 #ifndef BRONZESTAND_NODE_SETTINGS_H
 #define BRONZESTAND_NODE_SETTINGS_H
 
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "absl/status/statusor.h"
@@ -37,6 +39,16 @@
 
 std::string_view mechanismName(Mechanism Value);
 
+/// A fleet whose platform publishes the configuration and the backend servers in a metadata store
+/// that can only be read. Figures come from the platform's own settings.
+struct MeshSettings {
+  Endpoint Store_;
+  std::unordered_map<std::string, std::string> Regions_; ///< region of each data centre
+  double RetryRatio_ = 0.1;      ///< repeats per request that the fleet may send to a service
+  double RetryAllowance_ = 10.0; ///< repeats beyond that, of the whole fleet in a window
+  Duration GracePeriod_ = std::chrono::seconds(6); ///< from SIGTERM to the end of the process
+};
+
 /// Settings of one node. All of them need a restart; live configuration comes from the platform.
 struct Settings {
   HostId Host_;
@@ -53,6 +65,7 @@
   std::string PeerSecret_;
   Duration DrainLimit_ = std::chrono::seconds(30);
   LogSettings Log_;
+  std::optional<MeshSettings> Mesh_;
   ClaimSettings Claims_;         ///< shorter times are for tests only
   std::set<Mechanism> Disabled_; ///< for measurements only
 
