--- a/include/bronzestand/team_shares.h
+++ b/include/bronzestand/team_shares.h
@@ -3,32 +3,21 @@
 
 #include <cstdint>
 #include <map>
-#include <unordered_map>
+#include <optional>
 #include <vector>
 
 #include "bronzestand/types.h"
 
 namespace bronzestand {
 
-/// A node tells the broker of a team how many requests of the team arrive at it.
-struct ShareReport {
-  TeamId Team_;
-  double Demand_ = 0.0; ///< requests a second
-};
-
-/// The broker's answer: the rate that the node may admit until the grant expires.
-struct ShareGrant {
-  TeamId Team_;
-  double Rate_ = 0.0; ///< requests a second
-};
-
-/// Shares the rates of teams over the fleet in proportion to where their requests arrive. Nodes
-/// with little demand keep to a fixed small share and send nothing. Nodes beyond it report to the
-/// team's broker, which is chosen by rendezvous hashing and needs no state beyond the last reports.
-/// Without a broker a node falls back to an equal share. Design section 6.
+/// Bounds the rate of each team over the fleet. A team's bucket stands at its broker, a node chosen
+/// by rendezvous hashing. Other nodes fetch tokens in small batches a little ahead of their demand,
+/// so that most requests wait for no message, and a request that finds none waits for one exchange.
+/// Design section 6.
 ///
-/// The rate can be exceeded for as long as old grants live while demand moves between nodes; the
-/// tolerance of the limits is meant for that.
+/// A broker that does not answer leaves its team a part of the equal share at each node. A new
+/// broker starts with half a bucket; that and the unused batches are all that can be admitted
+/// beyond the rate and the burst.
 class TeamShares {
 public:
   explicit TeamShares(HostId Self) : Self_(std::move(Self)) {}
@@ -37,48 +26,66 @@
     double Rate_ = 0.0;  ///< requests a second over the whole fleet; 0 for no limit
     double Burst_ = 0.0; ///< requests
   };
-  struct SendReport {
+  enum class Verdict {
+    Admitted,
+    Held,   ///< waits for tokens; decide() tells the end
+    Refused ///< the bucket is empty
+  };
+  /// A node asks the broker of a team for tokens.
+  struct Ask {
     HostId To_;
-    ShareReport Report_;
+    TeamId Team_;
+    std::uint32_t Count_ = 0;
+  };
+  /// The broker's answer.
+  struct Grant {
+    TeamId Team_;
+    std::uint32_t Count_ = 0;
+    Duration DryFor_{}; ///< asking again before then is in vain; zero if all was granted
   };
 
   /// \param Hosts all nodes of the fleet, this one included.
   void setHosts(std::vector<HostId> Hosts);
   void setLimits(TimePoint Now, const std::map<TeamId, Limit> &Limits);
 
-  /// Takes one request of a team. \return false if it is over the limit.
-  bool admit(TimePoint Now, const TeamId &Team);
+  /// Takes one request of a team.
+  Verdict admit(TimePoint Now, const TeamId &Team);
+  /// Decides a held request after a grant. \return Held if it must wait on.
+  Verdict decide(TimePoint Now, const TeamId &Team);
+  /// Decides a held request when the broker did not answer in time.
+  Verdict decideAlone(TimePoint Now, const TeamId &Team);
   /// Time until the next request of the team may be admitted.
   Duration retryAfter(TimePoint Now, const TeamId &Team) const;
-  /// Answers a report as the broker of the team.
-  ShareGrant handle(TimePoint Now, const HostId &From, const ShareReport &Report);
-  void handle(TimePoint Now, const ShareGrant &Grant);
-  /// Reports that are due. Call every 100 ms.
-  std::vector<SendReport> tick(TimePoint Now);
+  /// Tokens to ask for now; nothing if there are enough or an answer is due.
+  std::optional<Ask> nextAsk(TimePoint Now, const TeamId &Team);
+  /// Answers as the broker of a team.
+  Grant serve(TimePoint Now, const TeamId &Team, std::uint32_t Count);
+  void granted(TimePoint Now, const Grant &Value);
 
 private:
-  struct Demand {
-    double Rate_ = 0.0;
-    TimePoint At_{};
+  struct Bucket {
+    double Tokens_ = 0.0;
+    TimePoint Filled_{};
+
+    void refill(TimePoint Now, double Rate, double Capacity);
+    bool take();
   };
   struct Team {
     Limit Limit_;
-    double Tokens_ = 0.0;
-    TimePoint Filled_{};
+    double Tokens_ = 0.0; ///< fetched from the broker
+    TimePoint Fetched_{};
     double Demand_ = 0.0; ///< moving average of arrivals
     TimePoint Measured_{};
-    double Granted_ = 0.0;
-    TimePoint GrantEnd_{};
-    TimePoint NextReport_{};
-    bool Short_ = false;               ///< a request was refused since the last report
-    std::map<HostId, Demand> Reports_; ///< held by the broker
+    std::uint32_t Held_ = 0;
+    std::optional<TimePoint> AskedAt_;
+    TimePoint DryUntil_{};
+    Bucket Reserve_; ///< used while the broker does not answer
+    Bucket Broker_;  ///< of the whole fleet; used only at the broker
   };
 
-  double equalShare(const Team &Item) const;
-  double rateOf(TimePoint Now, const Team &Item) const;
-  double capacityOf(TimePoint Now, const Team &Item) const;
-  void refill(TimePoint Now, Team &Item) const;
+  Team *find(const TeamId &Name);
   static double demandOf(TimePoint Now, const Team &Item);
+  double brokerCapacity(const Team &Item) const;
 
   HostId Self_;
   std::vector<HostId> Hosts_;
--- a/src/engine/team_shares.cpp
+++ b/src/engine/team_shares.cpp
@@ -15,29 +15,45 @@
 }
 
 /// Window over which arrivals are averaged.
-constexpr double DemandWindowS = 1.5;
-/// A node whose bucket holds more than this part of its capacity reports nothing.
-constexpr double LowTokens = 0.5;
-/// Part of its equal share that the broker takes a node without a report to use.
-constexpr double QuietUse = 0.5;
-/// A grant is used for this long after it arrived.
-constexpr Duration GrantLife = std::chrono::milliseconds(1500);
-/// Reports of a team that is within its limit, and of one that is short.
-constexpr Duration ReportInterval = std::chrono::milliseconds(500);
-constexpr Duration ShortReportInterval = std::chrono::milliseconds(100);
-/// A report counts at the broker for this long.
-constexpr Duration ReportLife = std::chrono::milliseconds(1500);
-/// Part of a granted rate that a bucket holds beyond the burst, in seconds.
-constexpr double BucketTimeS = 0.6;
-/// Parts of the rate that grants give at most, without and with what quiet nodes may use. The
-/// limits tolerate a quarter more.
-constexpr double GrantFactor = 1.1;
-constexpr double TotalFactor = 1.2;
-constexpr Duration MinRetryAfter = std::chrono::milliseconds(200);
+constexpr double DemandWindowS = 1.0;
+/// A batch covers the demand of this time, and the next is fetched when this much is left; the
+/// second is several round trips between regions.
+constexpr double BatchS = 0.4;
+constexpr double AheadS = 0.12;
+/// A node with less demand fetches tokens one by one, when it needs them.
+constexpr double MinAheadRate = 2.0;
+/// Fetched tokens that are not used lapse, so that they don't add up over idle nodes.
+constexpr Duration BatchLife = std::chrono::milliseconds(1500);
+/// An answer of the broker that takes longer is lost.
+constexpr Duration AskTimeout = std::chrono::milliseconds(250);
+/// The limits tolerate a quarter more in a window and some requests besides.
+constexpr double RateFactor = 1.08;
+constexpr double SlackRequests = 8.0;
+/// Part of the equal share that a node admits alone; two groups of nodes that can't reach each
+/// other stay within the tolerance together.
+constexpr double AloneShare = 0.4;
+/// Part of the bucket that a new broker starts with.
+constexpr double StartShare = 0.5;
+constexpr Duration MinDry = std::chrono::milliseconds(100);
+constexpr Duration MaxDry = std::chrono::milliseconds(500);
+constexpr Duration MinRetryAfter = std::chrono::milliseconds(250);
 constexpr Duration MaxRetryAfter = std::chrono::seconds(2);
 
 } // namespace
 
+void TeamShares::Bucket::refill(TimePoint Now, double Rate, double Capacity) {
+  const double Time = std::max(0.0, seconds(Now - Filled_));
+  Tokens_ = std::min(Capacity, Tokens_ + Time * Rate);
+  Filled_ = Now;
+}
+
+bool TeamShares::Bucket::take() {
+  if (Tokens_ < 1.0)
+    return false;
+  Tokens_ -= 1.0;
+  return true;
+}
+
 void TeamShares::setHosts(std::vector<HostId> Hosts) { Hosts_ = std::move(Hosts); }
 
 void TeamShares::setLimits(TimePoint Now, const std::map<TeamId, Limit> &Limits) {
@@ -47,125 +63,124 @@
     const bool Known = Teams_.count(Name) != 0;
     Team &Item = Teams_[Name];
     if (Known)
-      refill(Now, Item);
-    const bool Lower = Known && Value.Rate_ < Item.Limit_.Rate_;
+      Item.Broker_.refill(Now, Item.Limit_.Rate_ * RateFactor, brokerCapacity(Item));
     Item.Limit_ = Value;
-    if (Lower)
-      Item.GrantEnd_ = TimePoint(); // of the higher rate
+    const double Capacity = brokerCapacity(Item);
     if (!Known) {
-      Item.Filled_ = Item.Measured_ = Now;
-      Item.Tokens_ = capacityOf(Now, Item);
+      Item.Measured_ = Item.Fetched_ = Now;
+      Item.Reserve_ = {1.0, Now};
+      Item.Broker_ = {StartShare * Capacity, Now};
     }
-    Item.Tokens_ = std::min(Item.Tokens_, capacityOf(Now, Item));
+    Item.Broker_.Tokens_ = std::min(Item.Broker_.Tokens_, Capacity);
+    Item.DryUntil_ = TimePoint();
   }
 }
 
-double TeamShares::equalShare(const Team &Item) const {
-  return Item.Limit_.Rate_ / static_cast<double>(std::max<std::size_t>(1, Hosts_.size()));
+TeamShares::Team *TeamShares::find(const TeamId &Name) {
+  const auto Found = Teams_.find(Name);
+  return Found == Teams_.end() ? nullptr : &Found->second;
 }
 
 double TeamShares::demandOf(TimePoint Now, const Team &Item) {
   return Item.Demand_ * std::exp(-seconds(Now - Item.Measured_) / DemandWindowS);
 }
 
-double TeamShares::rateOf(TimePoint Now, const Team &Item) const {
-  return Now < Item.GrantEnd_ ? Item.Granted_ : equalShare(Item);
+double TeamShares::brokerCapacity(const Team &Item) const {
+  return Item.Limit_.Burst_ + SlackRequests;
 }
 
-double TeamShares::capacityOf(TimePoint Now, const Team &Item) const {
-  const double Burst =
-      Item.Limit_.Burst_ / static_cast<double>(std::max<std::size_t>(1, Hosts_.size()));
-  return std::max(1.5, Burst + rateOf(Now, Item) * BucketTimeS);
+TeamShares::Verdict TeamShares::admit(TimePoint Now, const TeamId &Name) {
+  Team *Item = find(Name);
+  if (Item == nullptr || Item->Limit_.Rate_ <= 0.0)
+    return Verdict::Admitted;
+  Item->Demand_ = demandOf(Now, *Item) + 1.0 / DemandWindowS;
+  Item->Measured_ = Now;
+  if (Now - Item->Fetched_ > BatchLife)
+    Item->Tokens_ = 0.0;
+  if (Item->Tokens_ >= 1.0) {
+    Item->Tokens_ -= 1.0;
+    return Verdict::Admitted;
+  }
+  if (Now < Item->DryUntil_)
+    return Verdict::Refused;
+  ++Item->Held_;
+  return Verdict::Held;
 }
 
-void TeamShares::refill(TimePoint Now, Team &Item) const {
-  const double Time = std::max(0.0, seconds(Now - Item.Filled_));
-  Item.Tokens_ = std::min(capacityOf(Now, Item), Item.Tokens_ + Time * rateOf(Now, Item));
-  Item.Filled_ = Now;
+TeamShares::Verdict TeamShares::decide(TimePoint Now, const TeamId &Name) {
+  Team *Item = find(Name);
+  if (Item == nullptr)
+    return Verdict::Admitted;
+  if (Item->Tokens_ < 1.0 && Now >= Item->DryUntil_)
+    return Verdict::Held;
+  Item->Held_ -= Item->Held_ == 0 ? 0 : 1;
+  if (Item->Tokens_ < 1.0)
+    return Verdict::Refused;
+  Item->Tokens_ -= 1.0;
+  return Verdict::Admitted;
 }
 
-bool TeamShares::admit(TimePoint Now, const TeamId &Name) {
-  const auto Found = Teams_.find(Name);
-  if (Found == Teams_.end() || Found->second.Limit_.Rate_ <= 0.0)
-    return true;
-  Team &Item = Found->second;
-  Item.Demand_ = demandOf(Now, Item) + 1.0 / DemandWindowS;
-  Item.Measured_ = Now;
-  refill(Now, Item);
-  if (Item.Tokens_ < 1.0) {
-    Item.Short_ = true;
-    return false;
-  }
-  Item.Tokens_ -= 1.0;
-  return true;
+TeamShares::Verdict TeamShares::decideAlone(TimePoint Now, const TeamId &Name) {
+  Team *Item = find(Name);
+  if (Item == nullptr)
+    return Verdict::Admitted;
+  Item->Held_ -= Item->Held_ == 0 ? 0 : 1;
+  const auto Nodes = static_cast<double>(std::max<std::size_t>(1, Hosts_.size()));
+  const double Share = AloneShare / Nodes;
+  Item->Reserve_.refill(Now, Item->Limit_.Rate_ * Share,
+                        std::max(1.0, (Item->Limit_.Burst_ + Item->Limit_.Rate_) * Share));
+  return Item->Reserve_.take() ? Verdict::Admitted : Verdict::Refused;
 }
 
 Duration TeamShares::retryAfter(TimePoint Now, const TeamId &Name) const {
   const auto Found = Teams_.find(Name);
   if (Found == Teams_.end())
     return MinRetryAfter;
-  const double Rate = std::max(0.1, rateOf(Now, Found->second));
-  // Others of the team wait for the next tokens too.
-  const double Waiting = std::max(1.0, demandOf(Now, Found->second) - Rate);
-  return std::clamp(fromSeconds((1.0 - Found->second.Tokens_ + Waiting) / Rate), MinRetryAfter,
-                    MaxRetryAfter);
+  const Team &Item = Found->second;
+  const Duration Dry = Item.DryUntil_ > Now ? Item.DryUntil_ - Now : Duration::zero();
+  return std::clamp(Dry * 2, MinRetryAfter, MaxRetryAfter);
 }
 
-ShareGrant TeamShares::handle(TimePoint Now, const HostId &From, const ShareReport &Report) {
-  const auto Found = Teams_.find(Report.Team_);
-  if (Found == Teams_.end())
-    return {Report.Team_, 0.0};
-  Team &Item = Found->second;
-  Item.Reports_[From] = {Report.Demand_, Now};
-  double Total = 0.0;
-  for (auto Row = Item.Reports_.begin(); Row != Item.Reports_.end();) {
-    if (Now - Row->second.At_ > ReportLife) {
-      Row = Item.Reports_.erase(Row);
-      continue;
-    }
-    Total += Row->second.Rate_;
-    ++Row;
-  }
-  const double Quiet =
-      static_cast<double>(Hosts_.size()) - static_cast<double>(Item.Reports_.size());
-  const double Rate = std::min(Item.Limit_.Rate_ * GrantFactor,
-                               Item.Limit_.Rate_ * TotalFactor -
-                                   std::max(0.0, Quiet) * QuietUse * equalShare(Item));
-  if (Total >= Rate)
-    return {Report.Team_, Rate * Report.Demand_ / std::max(Total, 1e-9)};
-  // What is left over goes to all alike, for demand that grows before the next report.
-  const double Rest = (Rate - Total) / static_cast<double>(Item.Reports_.size());
-  return {Report.Team_, Report.Demand_ + Rest};
+std::optional<TeamShares::Ask> TeamShares::nextAsk(TimePoint Now, const TeamId &Name) {
+  Team *Item = find(Name);
+  if (Item == nullptr || Item->Limit_.Rate_ <= 0.0 || Hosts_.empty() || Now < Item->DryUntil_)
+    return std::nullopt;
+  if (Item->AskedAt_ && Now - *Item->AskedAt_ < AskTimeout)
+    return std::nullopt;
+  const double Demand = demandOf(Now, *Item);
+  const bool Ahead = Demand >= MinAheadRate && Item->Tokens_ < Demand * AheadS;
+  if (Item->Held_ == 0 && !Ahead)
+    return std::nullopt;
+  Item->AskedAt_ = Now;
+  const double Count = std::ceil(Item->Held_ + (Demand >= MinAheadRate ? Demand * BatchS : 0.0));
+  return Ask{topHosts("limit/" + Name.str(), Hosts_, 1).front(), Name,
+             std::max(1U, static_cast<std::uint32_t>(Count))};
 }
 
-void TeamShares::handle(TimePoint Now, const ShareGrant &Grant) {
-  const auto Found = Teams_.find(Grant.Team_);
-  if (Found == Teams_.end())
-    return;
-  refill(Now, Found->second);
-  Found->second.Granted_ = Grant.Rate_;
-  Found->second.GrantEnd_ = Now + GrantLife;
+TeamShares::Grant TeamShares::serve(TimePoint Now, const TeamId &Name, std::uint32_t Count) {
+  Team *Item = find(Name);
+  // A team that is not known here yet is in a configuration that is on its way.
+  if (Item == nullptr || Item->Limit_.Rate_ <= 0.0)
+    return {Name, Count, Duration::zero()};
+  const double Rate = Item->Limit_.Rate_ * RateFactor;
+  Item->Broker_.refill(Now, Rate, brokerCapacity(*Item));
+  const auto Whole = static_cast<std::uint32_t>(std::max(0.0, Item->Broker_.Tokens_));
+  const std::uint32_t Given = std::min(Count, Whole);
+  Item->Broker_.Tokens_ -= Given;
+  if (Given == Count)
+    return {Name, Given, Duration::zero()};
+  const double Missing = Count - Given - Item->Broker_.Tokens_;
+  return {Name, Given, std::clamp(fromSeconds(Missing / Rate), MinDry, MaxDry)};
 }
 
-std::vector<TeamShares::SendReport> TeamShares::tick(TimePoint Now) {
-  std::vector<SendReport> Result;
-  for (auto &[Name, Item] : Teams_) {
-    if (Item.Limit_.Rate_ <= 0.0 || Now < Item.NextReport_)
-      continue;
-    refill(Now, Item);
-    const double Demand = demandOf(Now, Item);
-    const bool Low = Item.Tokens_ < LowTokens * capacityOf(Now, Item);
-    const bool Granted = Now < Item.GrantEnd_ && Demand > equalShare(Item);
-    if (!Item.Short_ && !Low && !Granted)
-      continue;
-    const auto Broker = topHosts("limit/" + Name.str(), Hosts_, 1);
-    if (Broker.empty())
-      continue;
-    Item.NextReport_ = Now + (Item.Short_ ? ShortReportInterval : ReportInterval);
-    Item.Short_ = false;
-    Result.push_back({Broker.front(), {Name, Demand}});
-  }
-  return Result;
+void TeamShares::granted(TimePoint Now, const Grant &Value) {
+  Team *Item = find(Value.Team_);
+  if (Item == nullptr)
+    return;
+  Item->AskedAt_.reset();
+  Item->Tokens_ += Value.Count_;
+  Item->Fetched_ = Now;
+  Item->DryUntil_ = Value.DryFor_ > Duration::zero() ? Now + Value.DryFor_ : TimePoint();
 }
 
 } // namespace bronzestand
--- a/src/mesh/entry.cpp
+++ b/src/mesh/entry.cpp
@@ -91,9 +91,8 @@
   return std::chrono::milliseconds(Count);
 }
 
-std::optional<Entry::Refused> Entry::admit(HttpRequest &Request, Call &Work,
-                                           const FleetRoute *&Route) {
-  const TimePoint Now = now();
+std::optional<Entry::Refused> Entry::identify(HttpRequest &Request, Call &Work,
+                                              const FleetRoute *&Route) {
   const std::string Key = takeCallerKey(Request);
   if (!Env_.Fleet_.isReady())
     return Refused{Refusal::NotReady, NotReadyRetry};
@@ -109,8 +108,6 @@
     Work.Team_ = Owner->Team_;
     const FleetTeam *Team = Env_.Fleet_.findTeam(Owner->Team_);
     Rank += (MaxRank + 1) * std::min(Team == nullptr ? 0U : Team->Rank_.value_or(0), MaxRank - 1);
-    if (!Env_.Shares_.admit(Now, Owner->Team_))
-      return Refused{Refusal::OverTeamLimit, Env_.Shares_.retryAfter(Now, Owner->Team_)};
   }
   Work.Standing_.ClassRank_ = static_cast<std::uint8_t>(255 - Rank);
   return std::nullopt;
@@ -131,29 +128,57 @@
 void Entry::handle(HttpRequest Request, const HttpExchangePtr &Exchange) {
   Call Work;
   Work.Request_ = RequestId(findHeader(Request.Headers_, Env_.Names_.RequestId_).value_or(""));
-  const FleetRoute *Route = nullptr;
-  if (const auto Why = admit(Request, Work, Route)) {
-    refuse(Request, Work, Route, *Why, Exchange);
+  const FleetRoute *Found = nullptr;
+  if (const auto Why = identify(Request, Work, Found)) {
+    refuse(Request, Work, Found, *Why, Exchange);
+    return;
+  }
+  if (Work.Team_.empty()) {
+    run(std::move(Request), std::move(Work), *Found, Exchange);
     return;
   }
+  const TeamId Team = Work.Team_;
+  // Shared, because the request may wait for tokens; the route may change meanwhile.
+  struct Held {
+    HttpRequest Request_;
+    Call Work_;
+    FleetRoute Route_;
+    bool CallerGone_ = false;
+  };
+  const auto Waiting = std::make_shared<Held>(Held{std::move(Request), std::move(Work), *Found});
+  Exchange->onCancelled([Waiting] { Waiting->CallerGone_ = true; });
+  Env_.Shares_.admit(Team, [this, Waiting, Exchange](bool Admitted) {
+    const TimePoint Now = now();
+    if (Waiting->CallerGone_)
+      return;
+    if (Admitted)
+      run(std::move(Waiting->Request_), std::move(Waiting->Work_), Waiting->Route_, Exchange);
+    else
+      refuse(Waiting->Request_, Waiting->Work_, &Waiting->Route_,
+             {Refusal::OverTeamLimit, Env_.Shares_.retryAfter(Now, Waiting->Work_.Team_)},
+             Exchange);
+  });
+}
+
+void Entry::run(HttpRequest Request, Call Work, const FleetRoute &Route,
+                const HttpExchangePtr &Exchange) {
   const Duration Allowed = timeAllowed(Request).value_or(DefaultTime);
-  Work.TimeLeft_ =
-      Route->Timeout_ > Duration::zero() ? std::min(Allowed, Route->Timeout_) : Allowed;
+  Work.TimeLeft_ = Route.Timeout_ > Duration::zero() ? std::min(Allowed, Route.Timeout_) : Allowed;
   if (Work.TimeLeft_ <= Duration::zero()) {
-    refuse(Request, Work, Route, {Refusal::DeadlineTooShort, std::nullopt}, Exchange);
+    refuse(Request, Work, &Route, {Refusal::DeadlineTooShort, std::nullopt}, Exchange);
     return;
   }
   prepareHeaders(Request, Work);
-  Work.Objective_ = Route->Objective_ > Duration::zero() ? Route->Objective_ : Work.TimeLeft_;
-  Work.Class_ = ClassId(Route->Name_);
-  Work.Service_ = Splitter_.next(*Route);
-  Work.Idempotent_ = Route->Idempotent_;
+  Work.Objective_ = Route.Objective_ > Duration::zero() ? Route.Objective_ : Work.TimeLeft_;
+  Work.Class_ = ClassId(Route.Name_);
+  Work.Service_ = Splitter_.next(Route);
+  Work.Idempotent_ = Route.Idempotent_;
   Work.Method_ = std::move(Request.Method_);
   Work.Target_ = std::move(Request.Target_);
   Work.Headers_ = std::move(Request.Headers_);
   Work.Body_ = std::move(Request.Body_);
   Budget_.noteFirst(Work.Service_);
-  const EntryCallPtr Item(new EntryCall(*this, std::move(Work), Exchange, Route->MaxRuns_));
+  const EntryCallPtr Item(new EntryCall(*this, std::move(Work), Exchange, Route.MaxRuns_));
   Item->start();
 }
 
--- a/src/mesh/entry.h
+++ b/src/mesh/entry.h
@@ -62,9 +62,12 @@
     std::optional<Duration> RetryAfter_;
   };
 
-  /// Finds route and team of a request and takes its place in the team's rate.
-  std::optional<Refused> admit(HttpRequest &Request, Call &Work, const FleetRoute *&Route);
+  /// Finds route and team of a request.
+  std::optional<Refused> identify(HttpRequest &Request, Call &Work, const FleetRoute *&Route);
   std::optional<Duration> timeAllowed(const HttpRequest &Request) const;
+  /// Starts a request that is within its team's rate.
+  void run(HttpRequest Request, Call Work, const FleetRoute &Route,
+           const HttpExchangePtr &Exchange);
   void prepareHeaders(HttpRequest &Request, const Call &Work) const;
   void refuse(const HttpRequest &Request, const Call &Work, const FleetRoute *Route,
               const Refused &Why, const HttpExchangePtr &Exchange);
--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -57,7 +57,7 @@
         Timer_(Io), Events_(Config_.Host_.str()), Links_(Io, Config_, Run_),
         Fleet_(Config_, Events_), Source_(Source(Io, Config_, Fleet_, Events_)),
         Gate_(Io, Config_, Names_, Fleet_, Events_), RemoteCalls_(Gate_, Links_, Run_),
-        Shares_(Config_, Fleet_, Links_),
+        Shares_(Io, Config_, Fleet_, Links_),
         Entry_({Io, Config_, Names_, Fleet_, Links_, Gate_, Shares_, Metrics_, Events_}, Run_),
         Watch_(Links_, Entry_, Events_),
         CallerServer_(Io, Config_.CallerListen_, limitsOf({}),
--- a/src/mesh/team_share_part.cpp
+++ b/src/mesh/team_share_part.cpp
@@ -7,19 +7,16 @@
 
 using nlohmann::json;
 
-/// Rates travel as whole thousandths of a request a second.
-constexpr double Milli = 1000.0;
-enum class ShareMessage : unsigned { Report, Grant };
+/// Longest wait of a request for the broker. It covers opening a link between regions.
+constexpr Duration HoldTime = std::chrono::milliseconds(160);
 
-json encode(ShareMessage Kind, const TeamId &Team, double Rate) {
-  return json::array({static_cast<unsigned>(Kind), Team.str(),
-                      static_cast<std::uint64_t>(std::max(0.0, Rate) * Milli)});
-}
+enum class ShareMessage : unsigned { Ask, Grant };
 
 } // namespace
 
-TeamSharePart::TeamSharePart(const Settings &Config, FleetState &Fleet, PeerLinks &Links)
-    : Self_(Config.Host_), Fleet_(Fleet), Links_(Links), Shares_(Config.Host_) {}
+TeamSharePart::TeamSharePart(boost::asio::io_context &Io, const Settings &Config, FleetState &Fleet,
+                             PeerLinks &Links)
+    : Self_(Config.Host_), Fleet_(Fleet), Links_(Links), Shares_(Config.Host_), Timer_(Io) {}
 
 absl::Status TeamSharePart::start() {
   Links_.setHandler(MessageKind::TeamLimits,
@@ -33,6 +30,11 @@
   return absl::OkStatus();
 }
 
+void TeamSharePart::stop() {
+  Timer_.cancel();
+  Waiting_.clear();
+}
+
 void TeamSharePart::configChanged() {
   std::map<TeamId, TeamShares::Limit> Limits;
   for (const FleetTeam &Team : Fleet_.config().Teams_)
@@ -40,28 +42,92 @@
   Shares_.setLimits(now(), Limits);
 }
 
+void TeamSharePart::admit(const TeamId &Team, Decided Done) {
+  const TimePoint Now = now();
+  const TeamShares::Verdict Verdict = Shares_.admit(Now, Team);
+  if (Verdict == TeamShares::Verdict::Held) {
+    Waiting_[Team].push_back({Now, std::move(Done)});
+    ask(Team);
+    scheduleTimeout();
+    return;
+  }
+  Done(Verdict == TeamShares::Verdict::Admitted);
+  ask(Team);
+}
+
+void TeamSharePart::ask(const TeamId &Team) {
+  const TimePoint Now = now();
+  const auto Next = Shares_.nextAsk(Now, Team);
+  if (!Next)
+    return;
+  ++Asks_;
+  if (Next->To_ == Self_)
+    onGrant(Shares_.serve(Now, Team, Next->Count_));
+  else
+    Links_.send(Next->To_, MessageKind::TeamLimits,
+                json::array({static_cast<unsigned>(ShareMessage::Ask), Team.str(), Next->Count_}));
+}
+
 void TeamSharePart::onMessage(const Peer &From, const json &Body) {
   const TeamId Team(Body.at(1).get<std::string>());
-  const double Rate = static_cast<double>(Body.at(2).get<std::uint64_t>()) / Milli;
+  const auto Count = Body.at(2).get<std::uint32_t>();
   if (Body.at(0).get<unsigned>() == static_cast<unsigned>(ShareMessage::Grant)) {
-    ++Grants_;
-    Shares_.handle(now(), ShareGrant{Team, Rate});
+    onGrant({Team, Count, Duration(Body.at(3).get<Duration::rep>())});
     return;
   }
-  const ShareGrant Grant = Shares_.handle(now(), From.Host_, ShareReport{Team, Rate});
+  const TeamShares::Grant Value = Shares_.serve(now(), Team, Count);
   Links_.send(From.Host_, MessageKind::TeamLimits,
-              encode(ShareMessage::Grant, Grant.Team_, Grant.Rate_));
+              json::array({static_cast<unsigned>(ShareMessage::Grant), Team.str(), Value.Count_,
+                           Value.DryFor_.count()}));
 }
 
-void TeamSharePart::tick(TimePoint Now) {
-  for (const TeamShares::SendReport &Send : Shares_.tick(Now)) {
-    ++Reports_;
-    if (Send.To_ == Self_)
-      Shares_.handle(Now, Shares_.handle(Now, Self_, Send.Report_));
-    else
-      Links_.send(Send.To_, MessageKind::TeamLimits,
-                  encode(ShareMessage::Report, Send.Report_.Team_, Send.Report_.Demand_));
+void TeamSharePart::onGrant(const TeamShares::Grant &Value) {
+  const TimePoint Now = now();
+  Shares_.granted(Now, Value);
+  const auto Found = Waiting_.find(Value.Team_);
+  while (Found != Waiting_.end() && !Found->second.empty()) {
+    const TeamShares::Verdict Verdict = Shares_.decide(Now, Value.Team_);
+    if (Verdict == TeamShares::Verdict::Held)
+      break;
+    const Decided Done = std::move(Found->second.front().Done_);
+    Found->second.pop_front();
+    Done(Verdict == TeamShares::Verdict::Admitted);
   }
+  ask(Value.Team_);
+}
+
+void TeamSharePart::scheduleTimeout() {
+  TimePoint First = TimePoint::max();
+  for (const auto &[Team, Items] : Waiting_)
+    if (!Items.empty())
+      First = std::min(First, Items.front().Since_ + HoldTime);
+  if (First == TimePoint::max())
+    return;
+  Timer_.expires_after(std::max(Duration::zero(), First - now()));
+  Timer_.async_wait([this](const boost::system::error_code &Failure) {
+    if (!Failure)
+      onTimeout();
+  });
+}
+
+void TeamSharePart::onTimeout() {
+  const TimePoint Now = now();
+  for (auto &[Team, Items] : Waiting_) {
+    while (!Items.empty() && Now - Items.front().Since_ >= HoldTime) {
+      ++Alone_;
+      const Decided Done = std::move(Items.front().Done_);
+      Items.pop_front();
+      Done(Shares_.decideAlone(Now, Team) == TeamShares::Verdict::Admitted);
+    }
+  }
+  scheduleTimeout();
+}
+
+nlohmann::json TeamSharePart::dump() const {
+  std::size_t Held = 0;
+  for (const auto &[Team, Items] : Waiting_)
+    Held += Items.size();
+  return {{"asks", Asks_}, {"decided_alone", Alone_}, {"held", Held}};
 }
 
 } // namespace bronzestand::node
