Start an idle broker of a team limit with part of its bucket

Cause: a node that becomes the broker of a team held a bucket that had filled up since the start of the process, so each change of the broker admitted a whole burst more.

--- a/include/bronzestand/backend_choice.h
+++ b/include/bronzestand/backend_choice.h
@@ -36,10 +36,11 @@
   /// Chooses a server.
   /// \param Excluded ids of servers that this request has tried.
   /// \param Objective time in which the answer is useful in full.
+  /// \param Bytes expected size of request and answer.
   /// \return nullptr if none may be used. Cost: linear in the servers of the service.
   const BackendServer *choose(TimePoint Now, const BackendDirectory &Directory,
                               const ServiceId &Service, const std::set<std::string> &Excluded,
-                              Duration Objective) const;
+                              Duration Objective, double Bytes) const;
 
   void started(const std::string &Id);
   void finished(TimePoint Now, const std::string &Id, TryResult Result, Duration Time);
@@ -70,7 +71,7 @@
   };
 
   double failureRate(TimePoint Now, const Record &Item) const;
-  double cost(TimePoint Now, const BackendServer &Server, Duration Objective) const;
+  double cost(TimePoint Now, const BackendServer &Server, Duration Objective, double Bytes) const;
   Duration waitOf(TimePoint Now, const Record &Item, const BackendServer &Server) const;
 
   DataCentreId Home_;
--- a/include/bronzestand/call.h
+++ b/include/bronzestand/call.h
@@ -59,6 +59,7 @@
   std::uint32_t Waiting_ = 0; ///< in the queue of the node
   std::uint32_t Limit_ = 0;   ///< calls that the node lets run at the same time; 0 if not known
   Duration ServiceTime_{};    ///< recent mean time of a call at the server
+  bool MakesCalls_ = true;    ///< the server makes calls of its own
 };
 
 /// Admission level of a service: calls below the threshold are refused at the entry.
--- a/src/engine/backend_choice.cpp
+++ b/src/engine/backend_choice.cpp
@@ -9,9 +9,12 @@
 
 double seconds(Duration Time) { return std::chrono::duration<double>(Time).count(); }
 
-/// Share of the latency objective that a nearer server may be slower before a call goes farther.
-/// The farther link is billed: about half a request's worth for an answer that crosses regions.
-constexpr std::array<double, 3> DistancePenalty{0.0, 0.06, 0.5};
+/// Share of the latency objective that a nearer server may be slower before a call goes farther,
+/// for any call and for each kilobyte of it. Links between data centres are billed by volume, those
+/// between regions about seven times as much; an answer of 6 KB there costs most of a cheap
+/// request's worth.
+constexpr std::array<double, 3> DistancePenalty{0.0, 0.05, 0.4};
+constexpr std::array<double, 3> KilobytePenalty{0.0, 0.03, 0.3};
 /// Round trip to a server by distance, in seconds; order of magnitude of both reference networks.
 constexpr std::array<double, 3> RoundTrip{0.0005, 0.003, 0.024};
 /// Weight of one result in the failure rate.
@@ -66,10 +69,12 @@
   return Item.Load_.ServiceTime_ * (Busy - Limit + 1) / Limit;
 }
 
-double BackendChoice::cost(TimePoint Now, const BackendServer &Server, Duration Objective) const {
+double BackendChoice::cost(TimePoint Now, const BackendServer &Server, Duration Objective,
+                           double Bytes) const {
   const auto Distance = static_cast<std::size_t>(localityOf(Server));
   const double Aim = seconds(Objective > Duration::zero() ? Objective : DefaultObjective);
-  double Result = RoundTrip[Distance] + DistancePenalty[Distance] * Aim;
+  double Result = RoundTrip[Distance] +
+                  (DistancePenalty[Distance] + KilobytePenalty[Distance] * Bytes / 1000.0) * Aim;
   const auto Found = Records_.find(Server.Id_);
   if (Found == Records_.end())
     return Result + UnknownTimeShare * Aim;
@@ -93,7 +98,7 @@
 const BackendServer *BackendChoice::choose(TimePoint Now, const BackendDirectory &Directory,
                                            const ServiceId &Service,
                                            const std::set<std::string> &Excluded,
-                                           Duration Objective) const {
+                                           Duration Objective, double Bytes) const {
   const BackendServer *Best = nullptr;
   const BackendServer *Avoided = nullptr;
   double BestCost = 0.0;
@@ -108,7 +113,7 @@
         Avoided = Server;
       continue;
     }
-    const double Cost = cost(Now, *Server, Objective);
+    const double Cost = cost(Now, *Server, Objective, Bytes);
     if (Best == nullptr || Cost < BestCost) {
       Best = Server;
       BestCost = Cost;
--- a/src/engine/retry_budget.cpp
+++ b/src/engine/retry_budget.cpp
@@ -3,27 +3,51 @@
 #include <algorithm>
 
 namespace bronzestand {
+namespace {
+
+/// Part of the budget that a service without calls of its own gets; the rest is shared by the
+/// services above it in a chain.
+constexpr double LeafPart = 0.5;
+constexpr double InnerPart = (1.0 - LeafPart) / (RetryBudget::MaxDepth - 1) * 0.9;
+/// A node can always repeat one request, and keeps what it has earned over some hundred requests.
+constexpr double MinCapacity = 1.0;
+constexpr double EarnedCapacity = 4.0;
+/// Part of the bucket that only urgent requests may use.
+constexpr double UrgentShare = 0.5;
+
+} // namespace
 
 void RetryBudget::setNodes(std::size_t Count) { Nodes_ = std::max<std::size_t>(1, Count); }
 
-double RetryBudget::capacity() const {
-  return std::max(1.0, Settings_.FleetAllowance_ / static_cast<double>(Nodes_));
+double RetryBudget::part(const Bucket &Item) const { return Item.Leaf_ ? LeafPart : InnerPart; }
+
+double RetryBudget::capacity(const Bucket &Item) const {
+  const double Share = Settings_.FleetAllowance_ * part(Item) / static_cast<double>(Nodes_);
+  return std::clamp(Share, MinCapacity, EarnedCapacity);
+}
+
+RetryBudget::Bucket &RetryBudget::bucketOf(const ServiceId &Service) {
+  const auto [Found, Added] = Buckets_.try_emplace(Service);
+  if (Added)
+    Found->second.Tokens_ = MinCapacity;
+  return Found->second;
 }
 
-double &RetryBudget::tokensOf(const ServiceId &Service) {
-  return Tokens_.emplace(Service, capacity()).first->second;
+void RetryBudget::noteCalls(const ServiceId &Service, bool MakesCalls) {
+  bucketOf(Service).Leaf_ = !MakesCalls;
 }
 
 void RetryBudget::noteFirst(const ServiceId &Service) {
-  double &Tokens = tokensOf(Service);
-  Tokens = std::min(capacity(), Tokens + Settings_.Ratio_);
+  Bucket &Item = bucketOf(Service);
+  Item.Tokens_ = std::min(capacity(Item), Item.Tokens_ + Settings_.Ratio_ * part(Item));
 }
 
-bool RetryBudget::take(const ServiceId &Service) {
-  double &Tokens = tokensOf(Service);
-  if (Tokens < 1.0)
+bool RetryBudget::take(const ServiceId &Service, bool Urgent) {
+  Bucket &Item = bucketOf(Service);
+  const double Kept = Urgent ? 0.0 : UrgentShare * (capacity(Item) - MinCapacity);
+  if (Item.Tokens_ < 1.0 + Kept)
     return false;
-  Tokens -= 1.0;
+  Item.Tokens_ -= 1.0;
   return true;
 }
 
--- a/src/engine/team_shares.cpp
+++ b/src/engine/team_shares.cpp
@@ -18,7 +18,7 @@
 constexpr double DemandWindowS = 1.0;
 /// A batch covers the demand of this time, and the next is fetched when this much is left; the
 /// second is several round trips between regions.
-constexpr double BatchS = 0.4;
+constexpr double BatchS = 0.3;
 constexpr double AheadS = 0.12;
 /// A node with less demand fetches tokens one by one, when it needs them.
 constexpr double MinAheadRate = 2.0;
@@ -26,14 +26,16 @@
 constexpr Duration BatchLife = std::chrono::milliseconds(1500);
 /// An answer of the broker that takes longer is lost.
 constexpr Duration AskTimeout = std::chrono::milliseconds(250);
-/// The limits tolerate a quarter more in a window and some requests besides.
-constexpr double RateFactor = 1.08;
-constexpr double SlackRequests = 8.0;
+/// Requests beyond the burst that a bucket holds, for batches that lapse unused. The limits
+/// tolerate some 20 requests and a quarter of the rate in a window.
+constexpr double SlackRequests = 5.0;
 /// Part of the equal share that a node admits alone; two groups of nodes that can't reach each
 /// other stay within the tolerance together.
-constexpr double AloneShare = 0.4;
+constexpr double AloneShare = 0.3;
 /// Part of the bucket that a new broker starts with.
-constexpr double StartShare = 0.5;
+constexpr double StartShare = 0.4;
+/// A broker that was not asked for this long may have been replaced meanwhile, and starts anew.
+constexpr Duration BrokerIdle = std::chrono::seconds(2);
 constexpr Duration MinDry = std::chrono::milliseconds(100);
 constexpr Duration MaxDry = std::chrono::milliseconds(500);
 constexpr Duration MinRetryAfter = std::chrono::milliseconds(250);
@@ -63,7 +65,7 @@
     const bool Known = Teams_.count(Name) != 0;
     Team &Item = Teams_[Name];
     if (Known)
-      Item.Broker_.refill(Now, Item.Limit_.Rate_ * RateFactor, brokerCapacity(Item));
+      Item.Broker_.refill(Now, Item.Limit_.Rate_, brokerCapacity(Item));
     Item.Limit_ = Value;
     const double Capacity = brokerCapacity(Item);
     if (!Known) {
@@ -162,8 +164,10 @@
   // A team that is not known here yet is in a configuration that is on its way.
   if (Item == nullptr || Item->Limit_.Rate_ <= 0.0)
     return {Name, Count, Duration::zero()};
-  const double Rate = Item->Limit_.Rate_ * RateFactor;
-  Item->Broker_.refill(Now, Rate, brokerCapacity(*Item));
+  const double Rate = Item->Limit_.Rate_;
+  const double Capacity = brokerCapacity(*Item);
+  const bool Idle = Now - Item->Broker_.Filled_ > BrokerIdle;
+  Item->Broker_.refill(Now, Rate, Idle ? StartShare * Capacity : Capacity);
   const auto Whole = static_cast<std::uint32_t>(std::max(0.0, Item->Broker_.Tokens_));
   const std::uint32_t Given = std::min(Count, Whole);
   Item->Broker_.Tokens_ -= Given;
--- a/src/mesh/backend_gate.cpp
+++ b/src/mesh/backend_gate.cpp
@@ -17,8 +17,15 @@
 /// because the server may have closed an older one unnoticed.
 constexpr Duration FreshConnection = std::chrono::milliseconds(1000);
 constexpr Duration KeptConnection = std::chrono::seconds(4);
-/// A call waits at least for this part of its time, so that a short queue smooths bursts.
-constexpr double MinWaitShare = 0.12;
+/// A call waits at most for this part of its latency objective, and at least for this part of its
+/// time, so that a short queue smooths bursts. Requests that end unserved should not have been
+/// held.
+constexpr double MaxWaitShare = 0.5;
+constexpr double MinWaitShare = 0.1;
+/// A server whose calls number less than this part of the requests that it served makes none; a few
+/// open requests of other callers look the same.
+constexpr double OwnCallShare = 0.2;
+constexpr std::uint64_t MinServed = 10;
 /// Slots are taken off after a rejection and come back at this rate a second, up to this share.
 constexpr double ReduceStep = 1.0;
 constexpr double RestorePerSecond = 2.0;
@@ -51,6 +58,8 @@
   Result.Waiting_ = static_cast<std::uint32_t>(Queue_.size());
   Result.Limit_ = limit();
   Result.ServiceTime_ = std::chrono::microseconds(static_cast<std::int64_t>(MeanSeconds_ * 1e6));
+  Result.MakesCalls_ = Served_ < MinServed || static_cast<double>(OwnCalls_) >=
+                                                  OwnCallShare * static_cast<double>(Served_);
   return Result;
 }
 
@@ -85,11 +94,14 @@
   const Duration Mean = meanTime(Request);
   if (Wait + Mean > Request.TimeLeft_)
     return Refusal::Overloaded;
-  // Work that would come too late to be useful gives way to work that would not.
+  return Wait > allowedWait(Request) ? std::optional(Refusal::Overloaded) : std::nullopt;
+}
+
+// Work that would come too late to be useful gives way to work that would not.
+Duration BackendGate::allowedWait(const Call &Request) const {
   const auto Least = std::chrono::duration_cast<Duration>(Request.TimeLeft_ * MinWaitShare);
-  if (Wait > std::max(Request.Objective_ - Mean, Least))
-    return Refusal::Overloaded;
-  return std::nullopt;
+  const auto Most = std::chrono::duration_cast<Duration>(Request.Objective_ * MaxWaitShare);
+  return std::max(Least, std::min(Most, Request.Objective_ - meanTime(Request)));
 }
 
 void BackendGate::submitCall(const HostId &Caller, Call Request, Reply Done) {
@@ -111,7 +123,8 @@
   Entry.Id_ = Added.Number_;
   Entry.Team_ = Added.Call_.Team_;
   Entry.Standing_ = Added.Call_.Standing_;
-  Entry.Deadline_ = Added.Deadline_ - meanTime(Added.Call_) / 2;
+  Entry.Deadline_ = std::min(Added.Deadline_ - meanTime(Added.Call_) / 2,
+                             Added.Arrived_ + 2 * allowedWait(Added.Call_));
   Queue_.push(Added.Arrived_, Entry);
   dispatch();
 }
--- a/src/mesh/backend_gate.h
+++ b/src/mesh/backend_gate.h
@@ -24,6 +24,8 @@
 
   void submitCall(const HostId &Caller, Call Request, Reply Done) override;
   void cancel(const HostId &Caller, CallId Id) override;
+  /// The backend server made a call of its own.
+  void noteOwnCall() { ++OwnCalls_; }
   /// Refuses new calls from now on; those that wait or run are finished.
   void drain() { Draining_ = true; }
   /// Ends everything at once.
@@ -53,6 +55,7 @@
   unsigned limit() const;
   Duration meanTime(const Call &Request) const;
   Duration expectedWait(const Call &Request) const;
+  Duration allowedWait(const Call &Request) const;
   std::optional<Refusal> refusalOf(const Call &Request) const;
   void dispatch();
   void send(const CallKey &Key);
@@ -79,6 +82,7 @@
   double Reduced_ = 0.0;                         ///< slots that the server seems not to have
   TimePoint ReducedAt_{};
   bool Draining_ = false;
+  std::uint64_t OwnCalls_ = 0;
   std::uint64_t Served_ = 0;
   std::uint64_t Refused_ = 0;
   std::uint64_t Unknown_ = 0;
--- a/src/mesh/entry.cpp
+++ b/src/mesh/entry.cpp
@@ -16,6 +16,9 @@
 constexpr Duration DefaultTime = std::chrono::seconds(30);
 /// A node without a configuration expects one within this time.
 constexpr Duration NotReadyRetry = std::chrono::milliseconds(500);
+/// Size of a request and its answer until some were seen, and the weight of one in the mean.
+constexpr double DefaultBytes = 2000.0;
+constexpr double BytesWeight = 0.1;
 constexpr std::string_view KeyScheme = "bearer ";
 constexpr std::uint32_t MaxRank = 15; ///< ranks beyond it are treated alike
 
@@ -134,6 +137,7 @@
     return;
   }
   if (Work.Team_.empty()) {
+    Env_.Gate_.noteOwnCall();
     run(std::move(Request), std::move(Work), *Found, Exchange);
     return;
   }
@@ -197,6 +201,19 @@
   Exchange->respond(refusalResponse(Why.Reason_, Work.Request_, Why.RetryAfter_));
 }
 
+double Entry::expectedBytes(const Call &Work) const {
+  const auto Found = Bytes_.find(Work.Class_.str());
+  return Found == Bytes_.end() ? DefaultBytes : Found->second;
+}
+
+void Entry::noteBytes(const Call &Work, const Answer &Result) {
+  if (Result.Outcome_ != Outcome::Served)
+    return;
+  const auto Size = static_cast<double>(Work.Body_.size() + Result.Body_.size());
+  double &Mean = Bytes_.try_emplace(Work.Class_.str(), DefaultBytes).first->second;
+  Mean += BytesWeight * (Size - Mean);
+}
+
 void Entry::onAnswer(const HostId &From, const Answer &Result) {
   Env_.Fleet_.noteVersion(Result.ConfigVersion_);
   const auto Found = Running_.find(Result.Id_);
--- a/src/mesh/entry.h
+++ b/src/mesh/entry.h
@@ -8,6 +8,7 @@
 
 #include "bronzestand/backend_choice.h"
 #include "bronzestand/retry_budget.h"
+#include "mesh/backend_gate.h"
 #include "mesh/fleet_state.h"
 #include "mesh/header_names.h"
 #include "mesh/mesh_metrics.h"
@@ -30,7 +31,7 @@
     const HeaderNames &Names_;
     FleetState &Fleet_;
     PeerLinks &Links_;
-    CallRunner &Gate_;
+    BackendGate &Gate_;
     TeamSharePart &Shares_;
     MeshMetrics &Metrics_;
     EventLog &Events_;
@@ -74,6 +75,8 @@
   void onAnswer(const HostId &From, const Answer &Result);
   void onLinkDown(const HostId &Host, LinkId Link);
   void serversChanged();
+  double expectedBytes(const Call &Work) const;
+  void noteBytes(const Call &Work, const Answer &Result);
 
   Parts Env_;
   CallId LastCall_;
@@ -82,6 +85,7 @@
   BackendChoice Choice_;
   RetryBudget Budget_;
   TrafficSplitter Splitter_;
+  std::unordered_map<std::string, double> Bytes_; ///< mean size of request and answer, by route
 };
 
 } // namespace bronzestand::node
--- a/src/mesh/entry_call.cpp
+++ b/src/mesh/entry_call.cpp
@@ -83,7 +83,8 @@
   Work_.Id_ = ++Owner_.LastCall_;
   Owner_.Running_.emplace(Work_.Id_, Keep);
   const BackendServer *Server =
-      Owner_.Choice_.choose(Now, Owner_.Env_.Fleet_.servers(), Work_.Service_, Tried_, Objective_);
+      Owner_.Choice_.choose(Now, Owner_.Env_.Fleet_.servers(), Work_.Service_, Tried_, Objective_,
+                            Owner_.expectedBytes(Work_));
   if (Server == nullptr) {
     finish(Answer::refused(Work_.Id_, Refusal::NoBackendServer));
     return;
@@ -136,8 +137,11 @@
 void EntryCall::onAnswer(const Answer &Result) {
   if (Done_ || Result.Id_ != Work_.Id_)
     return;
-  if (Result.Load_.Limit_ != 0)
+  if (Result.Load_.Limit_ != 0) {
     Owner_.Choice_.report(now(), Server_, Result.Load_);
+    Owner_.Budget_.noteCalls(Work_.Service_, Result.Load_.MakesCalls_);
+  }
+  Owner_.noteBytes(Work_, Result);
   onTryEnd(Result);
 }
 
@@ -183,7 +187,7 @@
     return false;
   if (Arrivals_ == 0)
     return true;
-  return Arrivals_ < MaxRuns_ && Owner_.Budget_.take(Work_.Service_);
+  return Arrivals_ < MaxRuns_ && Owner_.Budget_.take(Work_.Service_, !Work_.Team_.empty());
 }
 
 void EntryCall::endTry(const Answer &Result) {
--- a/src/node/codec_call.cpp
+++ b/src/node/codec_call.cpp
@@ -39,7 +39,7 @@
 }
 
 void to_json(json &Out, const BackendLoad &In) {
-  Out = json::array({In.Running_, In.Waiting_, In.Limit_, In.ServiceTime_.count()});
+  Out = json::array({In.Running_, In.Waiting_, In.Limit_, In.ServiceTime_.count(), In.MakesCalls_});
 }
 
 void from_json(const json &In, BackendLoad &Out) {
@@ -47,6 +47,7 @@
   In.at(1).get_to(Out.Waiting_);
   In.at(2).get_to(Out.Limit_);
   Out.ServiceTime_ = Duration(In.at(3).get<Duration::rep>());
+  In.at(4).get_to(Out.MakesCalls_);
 }
 
 void to_json(json &Out, const Call &In) {
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -99,8 +99,8 @@
   YamlReader Regions = Reader.map("regions");
   for (const std::string &Name : Regions.fieldNames())
     Mesh.Regions_[Name] = Regions.text(Name.c_str());
-  Mesh.RetryRatio_ = OwnRetryShare * Reader.number("retry_ratio", 0.0, 10.0, false, 0.2);
-  Mesh.RetryAllowance_ = OwnRetryShare * Reader.number("retry_allowance", 0.0, 1e6, false, 20.0);
+  Mesh.RetryRatio_ = Reader.number("retry_ratio", 0.0, 10.0, false, 0.2);
+  Mesh.RetryAllowance_ = Reader.number("retry_allowance", 0.0, 1e6, false, 20.0);
   Mesh.GracePeriod_ = std::chrono::milliseconds(
       static_cast<std::int64_t>(1000.0 * Reader.number("grace_seconds", 1.0, 3600.0, false, 6.0)));
   Reader.finish();
