Count a stale load report no longer; keep the retry allowance for last services

Cause: calls since a report counted as load for ever once no report came, so a server that had failed was never tried again.

--- a/include/bronzestand/backend_choice.h
+++ b/include/bronzestand/backend_choice.h
@@ -70,6 +70,8 @@
     TimePoint ColdUntil_{};
   };
 
+  static std::uint32_t busyOf(TimePoint Now, const Record &Item);
+  static std::uint32_t limitOf(const Record &Item, const BackendServer &Server);
   double failureRate(TimePoint Now, const Record &Item) const;
   double cost(TimePoint Now, const BackendServer &Server, Duration Objective, double Bytes) const;
   Duration waitOf(TimePoint Now, const Record &Item, const BackendServer &Server) const;
--- a/include/bronzestand/retry_budget.h
+++ b/include/bronzestand/retry_budget.h
@@ -36,7 +36,8 @@
 private:
   struct Bucket {
     double Tokens_ = 0.0;
-    bool Leaf_ = false; ///< known to make no calls
+    bool Leaf_ = false;  ///< known to make no calls
+    bool Given_ = false; ///< has got its part of the allowance
   };
 
   double part(const Bucket &Item) const;
--- a/src/engine/backend_choice.cpp
+++ b/src/engine/backend_choice.cpp
@@ -56,15 +56,21 @@
   return Item.FailureRate_ * std::exp2(-Age / FailureHalfLifeS);
 }
 
+std::uint32_t BackendChoice::busyOf(TimePoint Now, const Record &Item) {
+  const bool Fresh = Now - Item.Reported_ < ReportLife;
+  const std::uint32_t Reported = Item.Load_.Running_ + Item.Load_.Waiting_ + Item.SinceReport_;
+  return std::max(Item.InFlight_, Fresh ? Reported : 0U);
+}
+
+std::uint32_t BackendChoice::limitOf(const Record &Item, const BackendServer &Server) {
+  return Item.Load_.Limit_ != 0 ? Item.Load_.Limit_ : Server.Slots_;
+}
+
 Duration BackendChoice::waitOf(TimePoint Now, const Record &Item,
                                const BackendServer &Server) const {
-  const std::uint32_t Limit = Item.Load_.Limit_ != 0 ? Item.Load_.Limit_ : Server.Slots_;
-  if (Limit == 0)
-    return Duration::zero();
-  const bool Fresh = Now - Item.Reported_ < ReportLife;
-  const std::uint32_t Busy = std::max(
-      Item.InFlight_, Fresh ? Item.Load_.Running_ + Item.Load_.Waiting_ + Item.SinceReport_ : 0U);
-  if (Busy < Limit)
+  const std::uint32_t Limit = limitOf(Item, Server);
+  const std::uint32_t Busy = busyOf(Now, Item);
+  if (Limit == 0 || Busy < Limit)
     return Duration::zero();
   return Item.Load_.ServiceTime_ * (Busy - Limit + 1) / Limit;
 }
@@ -82,13 +88,8 @@
   double Service = seconds(Item.Load_.ServiceTime_);
   if (Service <= 0.0)
     Service = UnknownTimeShare * Aim;
-  const std::uint32_t Limit = Item.Load_.Limit_ != 0 ? Item.Load_.Limit_ : Server.Slots_;
-  if (Limit != 0) {
-    const double Share =
-        static_cast<double>(std::max(Item.InFlight_, Item.Load_.Running_ + Item.SinceReport_)) /
-        Limit;
-    Service *= 1.0 + std::max(0.0, Share - BusyShare);
-  }
+  if (const std::uint32_t Limit = limitOf(Item, Server); Limit != 0)
+    Service *= 1.0 + std::max(0.0, static_cast<double>(busyOf(Now, Item)) / Limit - BusyShare);
   if (Now < Item.ColdUntil_)
     Service *= ColdFactor;
   Result += Service + 2.0 * seconds(waitOf(Now, Item, Server));
--- a/src/engine/retry_budget.cpp
+++ b/src/engine/retry_budget.cpp
@@ -1,6 +1,7 @@
 #include "bronzestand/retry_budget.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace bronzestand {
 namespace {
@@ -26,15 +27,15 @@
   return std::clamp(Share, MinCapacity, EarnedCapacity);
 }
 
-RetryBudget::Bucket &RetryBudget::bucketOf(const ServiceId &Service) {
-  const auto [Found, Added] = Buckets_.try_emplace(Service);
-  if (Added)
-    Found->second.Tokens_ = MinCapacity;
-  return Found->second;
-}
+RetryBudget::Bucket &RetryBudget::bucketOf(const ServiceId &Service) { return Buckets_[Service]; }
 
 void RetryBudget::noteCalls(const ServiceId &Service, bool MakesCalls) {
-  bucketOf(Service).Leaf_ = !MakesCalls;
+  Bucket &Item = bucketOf(Service);
+  // The allowance is for the last services of a chain, because a repeat above makes several there.
+  if (!MakesCalls && !std::exchange(Item.Given_, true))
+    Item.Tokens_ +=
+        std::min(MinCapacity, Settings_.FleetAllowance_ * LeafPart / static_cast<double>(Nodes_));
+  Item.Leaf_ = !MakesCalls;
 }
 
 void RetryBudget::noteFirst(const ServiceId &Service) {
--- /dev/null
+++ b/tests/unit/backend_choice_test.cpp
@@ -0,0 +1,122 @@
+#include "bronzestand/backend_choice.h"
+
+#include <catch2/catch.hpp>
+
+using namespace bronzestand;
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+struct ChoiceFixture {
+  BackendDirectory Directory_;
+  BackendChoice Choice_{DataCentreId("galle"),
+                        {{"galle", "southern"}, {"matara", "southern"}, {"colombo", "western"}},
+                        HostId("10.0.0.9")};
+  TimePoint Now_{seconds(100)};
+  ServiceId Service_{"orders"};
+
+  ChoiceFixture() {
+    add("i-near", "10.0.0.1", "galle");
+    add("i-region", "10.0.0.2", "matara");
+    add("i-far", "10.0.0.3", "colombo");
+  }
+
+  void add(const std::string &Id, const std::string &Host, const std::string &DataCentre) {
+    BackendServer Server;
+    Server.Id_ = Id;
+    Server.Host_ = HostId(Host);
+    Server.Port_ = 80;
+    Server.Service_ = Service_;
+    Server.DataCentre_ = DataCentreId(DataCentre);
+    Server.Slots_ = 10;
+    Server.StartedMs_ = 1;
+    Directory_.put(Now_, Server);
+    Choice_.update(Now_, Directory_);
+    Choice_.report(Now_, Id, {0, 0, 10, milliseconds(100), false});
+  }
+
+  std::string choose(const std::set<std::string> &Excluded = {}, double Bytes = 1000.0) const {
+    const BackendServer *Server =
+        Choice_.choose(Now_, Directory_, Service_, Excluded, seconds(1), Bytes);
+    return Server == nullptr ? "" : Server->Id_;
+  }
+  void end(const std::string &Id, TryResult Result, int Times) {
+    for (int Number = 0; Number < Times; ++Number) {
+      Choice_.started(Id);
+      Choice_.finished(Now_, Id, Result, milliseconds(10));
+    }
+  }
+};
+
+} // namespace
+
+// Guards against billed traffic between data centres that serves nobody better.
+TEST_CASE_METHOD(ChoiceFixture, "choice_all_servers_idle_nearest_is_used") {
+  CHECK(choose() == "i-near");
+  CHECK(choose({"i-near"}) == "i-region");
+  CHECK(choose({"i-near", "i-region"}) == "i-far");
+  CHECK(choose({"i-near", "i-region", "i-far"}).empty());
+}
+
+// Guards against calls that wait at a full server while its neighbour is free.
+TEST_CASE_METHOD(ChoiceFixture, "choice_near_server_full_neighbour_is_used") {
+  Choice_.report(Now_, "i-near", {10, 20, 10, milliseconds(300), false});
+  CHECK(choose() == "i-region");
+}
+
+// Guards against large answers that cross regions where a short wait would do.
+TEST_CASE_METHOD(ChoiceFixture, "choice_region_busy_large_answers_do_not_cross") {
+  Choice_.report(Now_, "i-near", {10, 10, 10, milliseconds(200), false});
+  Choice_.report(Now_, "i-region", {10, 10, 10, milliseconds(200), false});
+  CHECK(choose({}, 6000.0) != "i-far");
+  Choice_.report(Now_, "i-near", {10, 60, 10, milliseconds(300), false});
+  Choice_.report(Now_, "i-region", {10, 60, 10, milliseconds(300), false});
+  CHECK(choose({}, 500.0) == "i-far");
+}
+
+// Guards against a server that fails fast and therefore looks free.
+TEST_CASE_METHOD(ChoiceFixture, "choice_server_that_fails_is_avoided_and_tried_again") {
+  end("i-near", TryResult::Failed, 20);
+  CHECK(choose() == "i-region");
+  Now_ += seconds(20);
+  CHECK(choose() == "i-near");
+}
+
+// Guards against calls to a node that can't be reached, and against a service that counts as gone
+// because every node was unreachable for a moment.
+TEST_CASE_METHOD(ChoiceFixture, "choice_unreachable_servers_are_used_only_if_all_are") {
+  Choice_.unreachable(Now_, "i-near");
+  CHECK(choose() == "i-region");
+  Choice_.unreachable(Now_ + milliseconds(1), "i-region");
+  Choice_.unreachable(Now_ + milliseconds(2), "i-far");
+  CHECK(choose() == "i-near");
+  Choice_.reachable("i-far");
+  CHECK(choose() == "i-far");
+}
+
+// Guards against new work for a leaving server, and for one whose address was taken over.
+TEST_CASE_METHOD(ChoiceFixture, "choice_leaving_or_replaced_server_is_not_used") {
+  BackendServer Leaving = *Directory_.find("i-near");
+  Leaving.Leaving_ = true;
+  Directory_.put(Now_, Leaving);
+  CHECK(choose() == "i-region");
+  BackendServer Other = *Directory_.find("i-region");
+  Other.Id_ = "i-other";
+  Other.Service_ = ServiceId("stock");
+  Other.StartedMs_ = 2;
+  Directory_.put(Now_, Other);
+  CHECK(choose() == "i-far");
+}
+
+// Guards against records of an earlier run that keep calls from a server that was started again.
+TEST_CASE_METHOD(ChoiceFixture, "choice_restarted_server_starts_without_failures") {
+  end("i-near", TryResult::Failed, 20);
+  BackendServer Again = *Directory_.find("i-near");
+  Again.StartedMs_ = 2;
+  Directory_.put(Now_, Again);
+  Choice_.update(Now_, Directory_);
+  Choice_.report(Now_, "i-near", {0, 0, 10, milliseconds(100), false});
+  CHECK(choose() == "i-near");
+}
