Find dead connections to the store by the revisions that peers know

Cause: a request reached a server 2,001 ms after its entry was removed: its own node took a server that is no longer listed for one that is not known yet, and a node behind a silent connection learnt of nothing for up to 20 s. Change: the gate refuses calls once its server's entry is gone; calls and answers carry the newest revision, and a node that stays behind for 500 ms asks the store over a new connection.

--- a/include/bronzestand/call.h
+++ b/include/bronzestand/call.h
@@ -49,8 +49,8 @@
   std::uint64_t Fingerprint_ = 0;
   bool AtMostOnce_ = false;
   bool Idempotent_ = false;
-  Duration Objective_{};            ///< time left in which an answer is useful in full
-  std::uint64_t ConfigVersion_ = 0; ///< in force at the sender; 0 if it has no version
+  Duration Objective_{}; ///< time left in which an answer is useful in full
+  Revision Known_ = 0;   ///< newest change of the platform that the sender knows
 };
 
 /// Load of a backend server as its node reports it with each answer.
@@ -80,7 +80,7 @@
   std::vector<ServiceLevel> Levels_;
   bool Leaving_ = false; ///< the executor's host is leaving
   BackendLoad Load_;
-  std::uint64_t ConfigVersion_ = 0; ///< as in Call
+  Revision Known_ = 0; ///< as in Call
 
   static Answer refused(CallId Id, Refusal Reason) {
     Answer Result;
--- a/src/mesh/backend_gate.cpp
+++ b/src/mesh/backend_gate.cpp
@@ -30,8 +30,7 @@
 constexpr double ReduceStep = 1.0;
 constexpr double RestorePerSecond = 2.0;
 constexpr double MaxReducedShare = 0.3;
-/// Calls still reach a server for this long after the platform has listed it as leaving, because
-/// other nodes learn of it later.
+/// A call with less time left is not sent.
 constexpr Duration MinTimeLeft = std::chrono::milliseconds(5);
 
 std::string milliseconds(Duration Time) {
@@ -78,13 +77,18 @@
       static_cast<std::int64_t>(MeanSeconds_ * 1e6 * static_cast<double>(Ahead) / Limit));
 }
 
+// A server may go on for a while after its entry is gone, and other nodes learn of it later.
+bool BackendGate::isServerGone() const {
+  const BackendServer *Own = Fleet_.ownServer();
+  return Own == nullptr ? WasListed_ : Own->Leaving_;
+}
+
 std::optional<Refusal> BackendGate::refusalOf(const Call &Request) const {
   if (Request.Service_ != Config_.Service_)
     return Refusal::WrongBackend;
   if (Draining_)
     return Refusal::ShuttingDown;
-  const BackendServer *Own = Fleet_.ownServer();
-  if (Own != nullptr && Own->Leaving_)
+  if (isServerGone())
     return Refusal::NoBackendServer;
   if (Request.TimeLeft_ < MinTimeLeft)
     return Refusal::DeadlineTooShort;
@@ -105,7 +109,7 @@
 }
 
 void BackendGate::submitCall(const HostId &Caller, Call Request, Reply Done) {
-  Fleet_.noteVersion(Request.ConfigVersion_);
+  Fleet_.noteRevision(Request.Known_);
   const CallKey Key(Caller, Request.Id_);
   const auto Reason = refusalOf(Request);
   Item &Added = Calls_[Key];
@@ -145,8 +149,7 @@
   ByNumber_.erase(Current.Number_);
   const TimePoint Now = now();
   const Duration Left = Current.Deadline_ - Now;
-  const BackendServer *Own = Fleet_.ownServer();
-  if (Left < MinTimeLeft || (Own != nullptr && Own->Leaving_)) {
+  if (Left < MinTimeLeft || isServerGone()) {
     finish(Key, Answer::refused(Key.second, Left < MinTimeLeft ? Refusal::DeadlineTooShort
                                                                : Refusal::NoBackendServer));
     return;
@@ -234,7 +237,7 @@
   Sending_ -= Ended.Sending_ ? 1 : 0;
   Result.Load_ = load();
   Result.Leaving_ = Draining_;
-  Result.ConfigVersion_ = Fleet_.version();
+  Result.Known_ = Fleet_.revision();
   ++(Result.Outcome_ == Outcome::Served   ? Served_
      : Result.Outcome_ == Outcome::NotRun ? Refused_
                                           : Unknown_);
@@ -250,7 +253,7 @@
                    {"limit", Result.Load_.Limit_},
                    {"age_us", (Now - Ended.Arrived_).count()},
                    {"time_left_us", (Ended.Deadline_ - Now).count()},
-                   {"config_version", Result.ConfigVersion_}});
+                   {"revision", Result.Known_}});
   Ended.Done_(Result);
   if (Ended.Sending_)
     dispatch();
@@ -306,6 +309,7 @@
 }
 
 void BackendGate::tick(TimePoint Now) {
+  WasListed_ = WasListed_ || Fleet_.ownServer() != nullptr;
   const double Time = std::chrono::duration<double>(Now - ReducedAt_).count();
   ReducedAt_ = Now;
   Reduced_ = std::max(0.0, Reduced_ - RestorePerSecond * std::clamp(Time, 0.0, 1.0));
--- a/src/mesh/backend_gate.h
+++ b/src/mesh/backend_gate.h
@@ -53,6 +53,7 @@
   };
 
   unsigned limit() const;
+  bool isServerGone() const;
   Duration meanTime(const Call &Request) const;
   Duration expectedWait(const Call &Request) const;
   Duration allowedWait(const Call &Request) const;
@@ -82,6 +83,7 @@
   double Reduced_ = 0.0;                         ///< slots that the server seems not to have
   TimePoint ReducedAt_{};
   bool Draining_ = false;
+  bool WasListed_ = false; ///< the platform has listed the server since the start
   std::uint64_t OwnCalls_ = 0;
   std::uint64_t Served_ = 0;
   std::uint64_t Refused_ = 0;
--- a/src/mesh/entry.cpp
+++ b/src/mesh/entry.cpp
@@ -215,7 +215,7 @@
 }
 
 void Entry::onAnswer(const HostId &From, const Answer &Result) {
-  Env_.Fleet_.noteVersion(Result.ConfigVersion_);
+  Env_.Fleet_.noteRevision(Result.Known_);
   const auto Found = Running_.find(Result.Id_);
   if (Found == Running_.end())
     return;
--- a/src/mesh/entry_call.cpp
+++ b/src/mesh/entry_call.cpp
@@ -101,7 +101,7 @@
   Queries_ = 0;
   Work_.TimeLeft_ = Deadline_ - Now;
   Work_.Objective_ = std::max(Duration::zero(), Started_ + Objective_ - Now);
-  Work_.ConfigVersion_ = Owner_.Env_.Fleet_.version();
+  Work_.Known_ = Owner_.Env_.Fleet_.revision();
   const std::string &Name = Owner_.Env_.Names_.ExpectedServer_;
   if (!Work_.Headers_.empty() && Work_.Headers_.back().Name_ == Name)
     Work_.Headers_.pop_back();
@@ -297,7 +297,8 @@
        {"arrivals", Arrivals_},
        {"age_us", (Now - Started_).count()},
        {"time_left_us", (Deadline_ - Now).count()},
-       {"config_version", Work_.ConfigVersion_}});
+       {"config_version", Owner_.Env_.Fleet_.version()},
+       {"revision", Work_.Known_}});
 }
 
 } // namespace bronzestand::node
--- a/src/mesh/fleet_state.cpp
+++ b/src/mesh/fleet_state.cpp
@@ -7,8 +7,8 @@
 namespace bronzestand::node {
 namespace {
 
-/// Interval of reads that other nodes' versions cause; one read takes a few milliseconds.
-constexpr Duration RefreshInterval = std::chrono::milliseconds(300);
+/// A change reaches all nodes within this time if their connections to the platform are sound.
+constexpr Duration NormalDelay = std::chrono::milliseconds(500);
 
 } // namespace
 
@@ -37,14 +37,12 @@
     Use();
 }
 
-void FleetState::noteVersion(std::uint64_t Version) {
-  const TimePoint Now = now();
-  if (Version <= Config_.Version_ || !Refresh_ || Now - LastRefresh_ < RefreshInterval)
+void FleetState::noteRevision(Revision Other) {
+  if (Other <= Known_ || Other <= Ahead_)
     return;
-  LastRefresh_ = Now;
-  Events_.write(Now, EventClass::Belief, "fleet_state", "behind_peer",
-                {{"version", Config_.Version_}, {"peer_version", Version}});
-  Refresh_();
+  if (Ahead_ <= Known_)
+    BehindSince_ = now();
+  Ahead_ = Other;
 }
 
 const FleetTeam *FleetState::findTeam(const TeamId &Name) const {
@@ -86,6 +84,12 @@
 }
 
 void FleetState::tick(TimePoint Now) {
+  if (Ahead_ > Known_ && Now - BehindSince_ >= NormalDelay && Refresh_) {
+    Events_.write(Now, EventClass::Belief, "fleet_state", "behind_peers",
+                  {{"revision", Known_}, {"peer_revision", Ahead_}});
+    BehindSince_ = Now;
+    Refresh_();
+  }
   if (Directory_.expire(Now))
     serversChanged();
 }
@@ -104,10 +108,9 @@
                        {"data_centre", Server.DataCentre_.str()},
                        {"slots", Server.Slots_},
                        {"leaving", Server.Leaving_}});
-  return {{"version", Config_.Version_},
-          {"routes", Config_.Routes_.size()},
-          {"teams", Config_.Teams_.size()},
-          {"listed", Listed_},
+  return {{"version", Config_.Version_},    {"revision", Known_},
+          {"peer_revision", Ahead_},        {"routes", Config_.Routes_.size()},
+          {"teams", Config_.Teams_.size()}, {"listed", Listed_},
           {"servers", std::move(Servers)}};
 }
 
--- a/src/mesh/fleet_state.h
+++ b/src/mesh/fleet_state.h
@@ -1,6 +1,7 @@
 #ifndef BRONZESTAND_MESH_FLEET_STATE_H
 #define BRONZESTAND_MESH_FLEET_STATE_H
 
+#include <algorithm>
 #include <functional>
 #include <optional>
 #include <set>
@@ -31,8 +32,12 @@
   void replace(std::vector<BackendServer> Entries, bool Trusted);
   /// The platform's list was read in full at least once.
   void setListed() { Listed_ = true; }
-  /// Another node has a newer configuration than this one.
-  void noteVersion(std::uint64_t Version);
+  /// Revision of a change that this node has taken in.
+  void setRevision(Revision Value) { Known_ = std::max(Known_, Value); }
+  Revision revision() const { return Known_; }
+  /// Another node knows a change of this revision. If this node does not learn of it by itself
+  /// soon, its connection to the platform is taken for dead.
+  void noteRevision(Revision Other);
 
   /// Tells whether requests can be served: a configuration and a list are known.
   bool isReady() const { return Config_.Version_ != 0 && Listed_; }
@@ -48,7 +53,8 @@
   using Callback = std::function<void()>;
   void onConfig(Callback Use) { OnConfig_.push_back(std::move(Use)); }
   void onServers(Callback Use) { OnServers_.push_back(std::move(Use)); }
-  /// Set by the adapter: reads the configuration anew, because it is behind.
+  /// Set by the adapter: asks the platform again over a new connection, because this node is
+  /// behind.
   void setRefresh(Callback Use) { Refresh_ = std::move(Use); }
 
   std::string_view name() const override { return "fleet_state"; }
@@ -68,7 +74,9 @@
   std::string Salt_;
   BackendDirectory Directory_;
   bool Listed_ = false;
-  TimePoint LastRefresh_{};
+  Revision Known_ = 0;
+  Revision Ahead_ = 0; ///< newest change that other nodes know
+  TimePoint BehindSince_{};
   std::vector<Callback> OnConfig_;
   std::vector<Callback> OnServers_;
   Callback Refresh_;
--- a/src/node/codec_call.cpp
+++ b/src/node/codec_call.cpp
@@ -54,7 +54,7 @@
   Out = json::array({In.Id_, In.Request_, In.Team_, In.Class_, In.Service_, In.Method_, In.Target_,
                      In.Headers_, toBinary(In.Body_), In.TimeLeft_.count(), In.Attempts_,
                      In.Standing_.value(), In.IdempotencyKey_, In.KeyId_, In.Fingerprint_,
-                     In.AtMostOnce_, In.Idempotent_, In.Objective_.count(), In.ConfigVersion_});
+                     In.AtMostOnce_, In.Idempotent_, In.Objective_.count(), In.Known_});
 }
 
 void from_json(const json &In, Call &Out) {
@@ -77,13 +77,13 @@
   In.at(15).get_to(Out.AtMostOnce_);
   In.at(16).get_to(Out.Idempotent_);
   Out.Objective_ = Duration(In.at(17).get<Duration::rep>());
-  In.at(18).get_to(Out.ConfigVersion_);
+  In.at(18).get_to(Out.Known_);
 }
 
 void to_json(json &Out, const Answer &In) {
   Out = json::array({In.Id_, static_cast<unsigned>(In.Outcome_), static_cast<unsigned>(In.Refusal_),
                      In.HttpStatus_, In.Headers_, toBinary(In.Body_), In.UnusedAttempts_,
-                     In.Levels_, In.Leaving_, In.Load_, In.ConfigVersion_});
+                     In.Levels_, In.Leaving_, In.Load_, In.Known_});
 }
 
 void from_json(const json &In, Answer &Out) {
@@ -97,7 +97,7 @@
   In.at(7).get_to(Out.Levels_);
   In.at(8).get_to(Out.Leaving_);
   In.at(9).get_to(Out.Load_);
-  In.at(10).get_to(Out.ConfigVersion_);
+  In.at(10).get_to(Out.Known_);
 }
 
 } // namespace bronzestand
--- /dev/null
+++ b/tests/unit/platform_decode_test.cpp
@@ -0,0 +1,143 @@
+#include "decode.h"
+
+#include <catch2/catch.hpp>
+
+#include "bronzestand/key_table.h"
+
+using namespace bronzestand;
+using namespace bronzestand::platform;
+
+namespace {
+
+const std::string ConfigText = R"({"Version":7,
+  "Routes":{"Columns":["Name","Host","Prefix","Kind","TimeoutMs","TargetLatencyMs","Priority",
+                       "TrafficSplit","MaxAttempts","Public","Service"],
+    "Rows":[["r-1","a.example","/x/","safe",1200,1500,2,
+             [{"Service":"s1","Weight":90},{"Service":"s2","Weight":10}],2,false,null],
+            ["r-2","b.example","/y/","unsafe",null,2000,0,null,3,true,"s3"]]},
+  "Services":{"Columns":["Name","HealthPath","MaxConnections","Protocol","Tls"],
+    "Rows":[["s1","/health",316,"h1",false]]},
+  "Limits":{"MaxHeaderBytes":8192,"MaxBodyBytes":1000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},
+  "Tenants":{"Columns":["Name","ApiKeys","Priority","RatePerS","Burst"],
+    "Rows":[["t1",["key-one","key-two"],1,40,50],["t2",["key-three"],null,null,null]]}})";
+
+const std::string ServerText =
+    R"({"Address":"10.0.0.9:8080","Info":{"Service":"s1","Version":"v1","Zone":"galle","Slots":36},)"
+    R"("Status":{"State":"ready","Sequence":4,"ColdRemainingMs":250},"born":1700000000123})";
+
+std::string withPart(const std::string &Text, const std::string &Old, const std::string &New) {
+  std::string Result = Text;
+  const std::size_t Found = Result.find(Old);
+  REQUIRE(Found != std::string::npos);
+  return Result.replace(Found, Old.size(), New);
+}
+
+} // namespace
+
+// Guards against fields of the platform that end in the wrong place.
+TEST_CASE("decode_config_fields_are_complete") {
+  const auto Config = decodeConfig(ConfigText);
+  REQUIRE(Config.ok());
+  CHECK(Config->Version_ == 7);
+  REQUIRE(Config->Routes_.size() == 2);
+  const FleetRoute &Split = Config->Routes_[0];
+  CHECK(Split.HostName_ == "a.example");
+  CHECK(Split.Prefix_ == "/x/");
+  CHECK(Split.Idempotent_);
+  CHECK(Split.Timeout_ == std::chrono::milliseconds(1200));
+  CHECK(Split.Objective_ == std::chrono::milliseconds(1500));
+  CHECK(Split.Rank_ == 2);
+  CHECK(Split.MaxRuns_ == 2);
+  REQUIRE(Split.Parts_.size() == 2);
+  CHECK(Split.Parts_[1].Service_.str() == "s2");
+  CHECK(Split.Parts_[1].Weight_ == 10.0);
+  const FleetRoute &Plain = Config->Routes_[1];
+  CHECK_FALSE(Plain.Idempotent_);
+  CHECK(Plain.Open_);
+  CHECK(Plain.Timeout_ == Duration::zero());
+  REQUIRE(Plain.Parts_.size() == 1);
+  CHECK(Plain.Parts_[0].Service_.str() == "s3");
+  REQUIRE(Config->Teams_.size() == 2);
+  CHECK(Config->Teams_[0].Spec_.Rate_ == 40.0);
+  CHECK(Config->Teams_[0].Rank_ == 1U);
+  CHECK_FALSE(Config->Teams_[1].Rank_.has_value());
+  CHECK(Config->Teams_[1].Spec_.Rate_ == 0.0);
+  CHECK(Config->Limits_.HeaderTimeout_ == std::chrono::milliseconds(3000));
+  CHECK(Config->MaxConnections_.at(ServiceId("s1")) == 316);
+}
+
+// Guards against a key in the clear behind the adapter, and against keys that no longer match.
+TEST_CASE("decode_config_keys_are_hashed_and_found") {
+  const auto Config = decodeConfig(ConfigText);
+  REQUIRE(Config.ok());
+  KeyTable Keys;
+  for (const FleetTeam &Team : Config->Teams_) {
+    for (const KeySpec &Key : Team.Spec_.Keys_)
+      CHECK(Key.Hash_.find("key-") == std::string::npos);
+    Keys.setTeam(Team.Spec_);
+  }
+  CHECK(Keys.authenticate("key-two")->Team_.str() == "t1");
+  CHECK(Keys.authenticate("key-three")->Team_.str() == "t2");
+  CHECK_FALSE(Keys.authenticate("key-four"));
+}
+
+// Guards against a configuration that is taken in part, and against a crash on malformed input.
+TEST_CASE("decode_config_malformed_is_refused_as_a_whole") {
+  for (const std::string &Text :
+       {std::string(), std::string("[]"), ConfigText.substr(0, ConfigText.size() / 2),
+        withPart(ConfigText, "\"safe\"", "\"other\""), withPart(ConfigText, "\"s3\"", "null"),
+        withPart(ConfigText, "1200", "\"x\""), withPart(ConfigText, "\"Version\":7", "\"V\":7"),
+        withPart(ConfigText, "[\"key-three\"]", "3")}) {
+    INFO(Text);
+    CHECK_FALSE(decodeConfig(Text).ok());
+  }
+}
+
+TEST_CASE("decode_server_fields_are_complete") {
+  const auto Server = decodeServer("i-1", ServerText);
+  REQUIRE(Server.ok());
+  CHECK(Server->Id_ == "i-1");
+  CHECK(Server->Host_.str() == "10.0.0.9");
+  CHECK(Server->Port_ == 8080);
+  CHECK(Server->Service_.str() == "s1");
+  CHECK(Server->DataCentre_.str() == "galle");
+  CHECK(Server->Slots_ == 36);
+  CHECK(Server->ColdFor_ == std::chrono::milliseconds(250));
+  CHECK(Server->StartedMs_ == 1'700'000'000'123U);
+  CHECK_FALSE(Server->Leaving_);
+  CHECK(decodeServer("i-1", withPart(ServerText, "ready", "draining"))->Leaving_);
+}
+
+// Guards against entries of other writers that are taken for backend servers.
+TEST_CASE("decode_server_of_other_writer_is_refused") {
+  for (const std::string &Text :
+       {std::string("\xff\xfe"), std::string("{}"), std::string("null"), std::string("[1,2]"),
+        withPart(ServerText, "\"ready\"", "\"warming\""), withPart(ServerText, "\"ready\"", "7"),
+        withPart(ServerText, "\"Slots\":36", "\"Slots\":\"many\""),
+        withPart(ServerText, "\"Slots\":36", "\"Slots\":-1"),
+        withPart(ServerText, "10.0.0.9:8080", "10.0.0.9"),
+        withPart(ServerText, "10.0.0.9:8080", "10.0.0.9:99999"),
+        withPart(ServerText, "\"s1\"", "null"), withPart(ServerText, "\"born\":1", "\"born\":\"1"),
+        withPart(ServerText, "\"Info\"", "\"Other\"")}) {
+    INFO(Text);
+    CHECK_FALSE(decodeServer("i-1", Text).ok());
+  }
+}
+
+// Guards against a page that is lost for one unreadable item.
+TEST_CASE("decode_page_unreadable_item_is_skipped_and_named") {
+  const auto Page = decodePage(
+      R"({"items":[{"Key":"servers/i-1","Value":"!","Rev":4},
+                   {"Key":"servers/i-2","Value":"e30=","Rev":5},
+                   {"Key":"servers/i-3","Rev":6,"Removed":true}],"MorePages":true,"CurrentRev":9})");
+  REQUIRE(Page.ok());
+  CHECK(Page->More_);
+  CHECK(Page->Revision_ == 9);
+  REQUIRE(Page->Items_.size() == 2);
+  CHECK(Page->Items_[0].Value_ == "{}");
+  CHECK(Page->Items_[1].Removed_);
+  REQUIRE(Page->Unreadable_.size() == 1);
+  CHECK(Page->Unreadable_[0] == "servers/i-1");
+  CHECK_FALSE(decodePage("{\"items\":[]}").ok());
+  CHECK_FALSE(decodePage("<html>").ok());
+}
