Keep unlisted nodes in the fleet of the team limits and scale split brokers

Ruled out: batches, requests decided alone. Change: nodes stay members for 15 s after they were listed; unreachable members are no brokers, and a broker gives out the part of the rate of the members that it reaches.

--- a/include/bronzestand/team_shares.h
+++ b/include/bronzestand/team_shares.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "bronzestand/types.h"
@@ -44,8 +45,12 @@
     Duration DryFor_{}; ///< asking again before then is in vain; zero if all was granted
   };
 
-  /// \param Hosts all nodes of the fleet, this one included.
-  void setHosts(std::vector<HostId> Hosts);
+  /// \param Hosts all nodes of the fleet, this one included. Nodes that the platform no longer
+  /// lists belong to it for a while, because they may still serve callers. \param Down those of
+  /// them that this node can't reach. They are no brokers, and as a broker this node gives out only
+  /// the part of the rates that the others make up, because nodes beyond a partition have a broker
+  /// of their own.
+  void setHosts(std::vector<HostId> Hosts, const std::set<HostId> &Down);
   void setLimits(TimePoint Now, const std::map<TeamId, Limit> &Limits);
 
   /// Takes one request of a team.
@@ -89,6 +94,8 @@
 
   HostId Self_;
   std::vector<HostId> Hosts_;
+  std::vector<HostId> Brokers_; ///< hosts that can be reached
+  double Reachable_ = 1.0;
   std::map<TeamId, Team> Teams_;
 };
 
--- a/src/engine/team_shares.cpp
+++ b/src/engine/team_shares.cpp
@@ -32,6 +32,8 @@
 /// Part of the equal share that a node admits alone; two groups of nodes that can't reach each
 /// other stay within the tolerance together.
 constexpr double AloneShare = 0.3;
+/// A broker that reaches nobody still gives this part of the rate to its own callers.
+constexpr double MinReachable = 0.2;
 /// Part of the bucket that a new broker starts with.
 constexpr double StartShare = 0.4;
 /// A broker that was not asked for this long may have been replaced meanwhile, and starts anew.
@@ -56,7 +58,16 @@
   return true;
 }
 
-void TeamShares::setHosts(std::vector<HostId> Hosts) { Hosts_ = std::move(Hosts); }
+void TeamShares::setHosts(std::vector<HostId> Hosts, const std::set<HostId> &Down) {
+  Hosts_ = std::move(Hosts);
+  Brokers_.clear();
+  for (const HostId &Host : Hosts_)
+    if (Down.count(Host) == 0 || Host == Self_)
+      Brokers_.push_back(Host);
+  Reachable_ = Hosts_.empty()
+                   ? 1.0
+                   : static_cast<double>(Brokers_.size()) / static_cast<double>(Hosts_.size());
+}
 
 void TeamShares::setLimits(TimePoint Now, const std::map<TeamId, Limit> &Limits) {
   for (auto Item = Teams_.begin(); Item != Teams_.end();)
@@ -88,7 +99,7 @@
 }
 
 double TeamShares::brokerCapacity(const Team &Item) const {
-  return Item.Limit_.Burst_ + SlackRequests;
+  return (Item.Limit_.Burst_ + SlackRequests) * std::max(MinReachable, Reachable_);
 }
 
 TeamShares::Verdict TeamShares::admit(TimePoint Now, const TeamId &Name) {
@@ -145,7 +156,7 @@
 
 std::optional<TeamShares::Ask> TeamShares::nextAsk(TimePoint Now, const TeamId &Name) {
   Team *Item = find(Name);
-  if (Item == nullptr || Item->Limit_.Rate_ <= 0.0 || Hosts_.empty() || Now < Item->DryUntil_)
+  if (Item == nullptr || Item->Limit_.Rate_ <= 0.0 || Brokers_.empty() || Now < Item->DryUntil_)
     return std::nullopt;
   if (Item->AskedAt_ && Now - *Item->AskedAt_ < AskTimeout)
     return std::nullopt;
@@ -155,7 +166,7 @@
     return std::nullopt;
   Item->AskedAt_ = Now;
   const double Count = std::ceil(Item->Held_ + (Demand >= MinAheadRate ? Demand * BatchS : 0.0));
-  return Ask{topHosts("limit/" + Name.str(), Hosts_, 1).front(), Name,
+  return Ask{topHosts("limit/" + Name.str(), Brokers_, 1).front(), Name,
              std::max(1U, static_cast<std::uint32_t>(Count))};
 }
 
@@ -164,7 +175,7 @@
   // A team that is not known here yet is in a configuration that is on its way.
   if (Item == nullptr || Item->Limit_.Rate_ <= 0.0)
     return {Name, Count, Duration::zero()};
-  const double Rate = Item->Limit_.Rate_;
+  const double Rate = Item->Limit_.Rate_ * std::max(MinReachable, Reachable_);
   const double Capacity = brokerCapacity(*Item);
   const bool Idle = Now - Item->Broker_.Filled_ > BrokerIdle;
   Item->Broker_.refill(Now, Rate, Idle ? StartShare * Capacity : Capacity);
--- a/src/mesh/team_share_part.cpp
+++ b/src/mesh/team_share_part.cpp
@@ -10,6 +10,11 @@
 /// Longest wait of a request for the broker. It covers opening a link between regions.
 constexpr Duration HoldTime = std::chrono::milliseconds(160);
 
+/// A host that could not be reached is taken to be beyond a partition for this long.
+constexpr Duration DownLife = std::chrono::seconds(3);
+/// A host whose server is gone from the list may still serve callers, and may come back.
+constexpr Duration UnlistedLife = std::chrono::seconds(15);
+
 enum class ShareMessage : unsigned { Ask, Grant };
 
 } // namespace
@@ -22,11 +27,12 @@
   Links_.setHandler(MessageKind::TeamLimits,
                     [this](const Peer &From, const json &Body) { onMessage(From, Body); });
   Fleet_.onConfig([this] { configChanged(); });
-  Fleet_.onServers([this] {
-    std::set<HostId> Hosts = Fleet_.servers().hosts();
-    Hosts.insert(Self_);
-    Shares_.setHosts({Hosts.begin(), Hosts.end()});
+  Fleet_.onServers([this] { updateHosts(now()); });
+  Links_.addHostDown([this](const HostId &Host, LinkEnd Reason) {
+    if (Reason == LinkEnd::Failed)
+      Down_[Host] = now();
   });
+  Links_.addLinkUp([this](const Peer &Other) { Down_.erase(Other.Host_); });
   return absl::OkStatus();
 }
 
@@ -35,6 +41,31 @@
   Waiting_.clear();
 }
 
+void TeamSharePart::updateHosts(TimePoint Now) {
+  Listed_[Self_] = Now;
+  for (const HostId &Host : Fleet_.servers().hosts())
+    Listed_[Host] = Now;
+  std::set<HostId> Down;
+  for (auto Item = Down_.begin(); Item != Down_.end();) {
+    if (Now - Item->second > DownLife) {
+      Item = Down_.erase(Item);
+      continue;
+    }
+    Down.insert(Item->first);
+    ++Item;
+  }
+  std::vector<HostId> Hosts;
+  for (auto Item = Listed_.begin(); Item != Listed_.end();) {
+    if (Now - Item->second > UnlistedLife && !Links_.isLinked(Item->first)) {
+      Item = Listed_.erase(Item);
+      continue;
+    }
+    Hosts.push_back(Item->first);
+    ++Item;
+  }
+  Shares_.setHosts(std::move(Hosts), Down);
+}
+
 void TeamSharePart::configChanged() {
   std::map<TeamId, TeamShares::Limit> Limits;
   for (const FleetTeam &Team : Fleet_.config().Teams_)
--- a/src/mesh/team_share_part.h
+++ b/src/mesh/team_share_part.h
@@ -32,6 +32,7 @@
   std::string_view name() const override { return "team_shares"; }
   absl::Status start() override;
   void stop() override;
+  void tick(TimePoint Now) override { updateHosts(Now); }
   nlohmann::json dump() const override;
 
 private:
@@ -41,6 +42,7 @@
   };
 
   void configChanged();
+  void updateHosts(TimePoint Now);
   void onMessage(const Peer &From, const nlohmann::json &Body);
   void ask(const TeamId &Team);
   void onGrant(const TeamShares::Grant &Value);
@@ -53,6 +55,8 @@
   TeamShares Shares_;
   boost::asio::steady_timer Timer_;
   std::map<TeamId, std::deque<Waiting>> Waiting_;
+  std::map<HostId, TimePoint> Listed_; ///< hosts of the fleet, with the time they were listed last
+  std::map<HostId, TimePoint> Down_;   ///< hosts that could not be reached, with the time
   std::uint64_t Asks_ = 0;
   std::uint64_t Alone_ = 0;
 };
--- a/tests/unit/team_shares_test.cpp
+++ b/tests/unit/team_shares_test.cpp
@@ -43,12 +43,12 @@
   }
   void restart(std::size_t Number) {
     Nodes_[Number] = std::make_unique<TeamShares>(Hosts_[Number]);
-    Nodes_[Number]->setHosts(Hosts_);
+    Nodes_[Number]->setHosts(Hosts_, {});
     Nodes_[Number]->setLimits(Now_, {{Team_, {Rate, Burst}}});
   }
-  void setHosts(const std::vector<HostId> &Hosts) {
+  void setHosts(const std::set<HostId> &Down) {
     for (const auto &Node : Nodes_)
-      Node->setHosts(Hosts);
+      Node->setHosts(Hosts_, Down);
   }
   bool isCut(std::size_t A, std::size_t B) const {
     return Cut_.count({std::min(A, B), std::max(A, B)}) != 0;
@@ -133,19 +133,31 @@
       for (std::size_t B = 5; B < 16; ++B)
         World.Cut_.insert({A, B});
     World.run(seconds(4), Rate * 4, Random);
-    // The list loses the nodes that were cut off; those keep the old list.
-    const std::vector<HostId> Rest(World.Hosts_.begin() + 5, World.Hosts_.end());
-    for (std::size_t Number = 5; Number < 16; ++Number)
-      World.Nodes_[Number]->setHosts(Rest);
+    // Each side finds that it can't reach the other.
+    const std::set<HostId> Left(World.Hosts_.begin(), World.Hosts_.begin() + 5);
+    const std::set<HostId> Right(World.Hosts_.begin() + 5, World.Hosts_.end());
+    for (std::size_t Number = 0; Number < 16; ++Number)
+      World.Nodes_[Number]->setHosts(World.Hosts_, Number < 5 ? Right : Left);
     World.run(seconds(6), Rate * 4, Random);
     World.Cut_.clear();
-    World.setHosts(World.Hosts_);
+    World.setHosts({});
     World.run(seconds(6), Rate * 4, Random);
     INFO("seed " << Seed);
     REQUIRE(World.mostInWindow() <= allowed());
   }
 }
 
+// Guards against the whole rate on both sides of a partition, each with a broker of its own.
+TEST_CASE_METHOD(SharesFixture, "shares_brokers_on_both_sides_share_the_rate") {
+  std::mt19937_64 Random(5);
+  const std::set<HostId> Left(Hosts_.begin(), Hosts_.begin() + 6);
+  const std::set<HostId> Right(Hosts_.begin() + 6, Hosts_.end());
+  for (std::size_t Number = 0; Number < 16; ++Number)
+    Nodes_[Number]->setHosts(Hosts_, Number < 6 ? Right : Left);
+  run(seconds(12), Rate * 4, Random);
+  CHECK(mostInWindow() <= allowed());
+}
+
 // Guards against a fleet that starts with a burst for each node after all were killed.
 TEST_CASE_METHOD(SharesFixture, "shares_restart_of_all_nodes_stays_within_tolerance") {
   std::mt19937_64 Random(3);
