Shed the least urgent work of overloaded chains at the entry

Change: the gate of each server learns a level from what it had to refuse; answers carry it up the chain, and the entry refuses the least urgent requests in that proportion. Calls without a team rank with the least important team.

--- a/include/bronzestand/call.h
+++ b/include/bronzestand/call.h
@@ -60,6 +60,7 @@
   std::uint32_t Limit_ = 0;   ///< calls that the node lets run at the same time; 0 if not known
   Duration ServiceTime_{};    ///< recent mean time of a call at the server
   bool MakesCalls_ = true;    ///< the server makes calls of its own
+  double Shed_ = 0.0;         ///< ShedLevel of the server and of the services that it calls
 };
 
 /// Admission level of a service: calls below the threshold are refused at the entry.
--- a/src/mesh/backend_gate.cpp
+++ b/src/mesh/backend_gate.cpp
@@ -59,9 +59,14 @@
   Result.ServiceTime_ = std::chrono::microseconds(static_cast<std::int64_t>(MeanSeconds_ * 1e6));
   Result.MakesCalls_ = Served_ < MinServed || static_cast<double>(OwnCalls_) >=
                                                   OwnCallShare * static_cast<double>(Served_);
+  Result.Shed_ = std::max(Shed_.level(), Called_.highest(now()));
   return Result;
 }
 
+void BackendGate::noteCalled(const ServiceId &Service, ShedLevel Level) {
+  Called_.report(now(), Service, Level);
+}
+
 Duration BackendGate::meanTime(const Call &Request) const {
   const auto Found = SecondsByClass_.find(Request.Class_.str());
   const double Seconds = Found == SecondsByClass_.end() ? MeanSeconds_ : Found->second;
@@ -112,6 +117,7 @@
   Fleet_.noteRevision(Request.Known_);
   const CallKey Key(Caller, Request.Id_);
   const auto Reason = refusalOf(Request);
+  Shed_.offered();
   Item &Added = Calls_[Key];
   Added.Call_ = std::move(Request);
   Added.Done_ = std::move(Done);
@@ -242,6 +248,8 @@
      : Result.Outcome_ == Outcome::NotRun ? Refused_
                                           : Unknown_);
   const TimePoint Now = now();
+  if (Result.Outcome_ == Outcome::NotRun && Result.Refusal_ == Refusal::Overloaded)
+    Shed_.refused();
   if (Result.Outcome_ != Outcome::Served && Events_.mayWrite(Now, EventClass::Decision))
     Events_.write(Now, EventClass::Decision, "backend_gate", "call_failed",
                   {{"request", Ended.Call_.Request_.str()},
@@ -309,6 +317,7 @@
 }
 
 void BackendGate::tick(TimePoint Now) {
+  Shed_.tick();
   WasListed_ = WasListed_ || Fleet_.ownServer() != nullptr;
   const double Time = std::chrono::duration<double>(Now - ReducedAt_).count();
   ReducedAt_ = Now;
--- a/src/mesh/backend_gate.h
+++ b/src/mesh/backend_gate.h
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "bronzestand/dispatcher.h"
+#include "bronzestand/shed_level.h"
 #include "mesh/fleet_state.h"
 #include "mesh/header_names.h"
 #include "node/call_runner.h"
@@ -26,6 +27,8 @@
   void cancel(const HostId &Caller, CallId Id) override;
   /// The backend server made a call of its own.
   void noteOwnCall() { ++OwnCalls_; }
+  /// A call of the backend server was answered by a service with this level.
+  void noteCalled(const ServiceId &Service, ShedLevel Level);
   /// Refuses new calls from now on; those that wait or run are finished.
   void drain() { Draining_ = true; }
   /// Ends everything at once.
@@ -80,7 +83,9 @@
   unsigned Sending_ = 0;
   double MeanSeconds_ = 0.0;                     ///< moving average over all calls
   std::map<std::string, double> SecondsByClass_; ///< moving average by route
-  double Reduced_ = 0.0;                         ///< slots that the server seems not to have
+  ShedController Shed_;
+  ShedTable Called_;
+  double Reduced_ = 0.0; ///< slots that the server seems not to have
   TimePoint ReducedAt_{};
   bool Draining_ = false;
   bool WasListed_ = false; ///< the platform has listed the server since the start
--- a/src/mesh/entry.cpp
+++ b/src/mesh/entry.cpp
@@ -19,6 +19,8 @@
 /// Size of a request and its answer until some were seen, and the weight of one in the mean.
 constexpr double DefaultBytes = 2000.0;
 constexpr double BytesWeight = 0.1;
+/// An overload lasts for seconds, so that an earlier return is mostly in vain.
+constexpr Duration ShedRetry = std::chrono::milliseconds(1200);
 constexpr std::string_view KeyScheme = "bearer ";
 constexpr std::uint32_t MaxRank = 15; ///< ranks beyond it are treated alike
 
@@ -48,7 +50,7 @@
     : Env_(Environment), LastCall_(Run),
       Choice_(Env_.Config_.DataCentre_, regionsOf(Env_.Config_), Env_.Config_.Host_),
       Budget_({Env_.Config_.Mesh_->RetryRatio_, Env_.Config_.Mesh_->RetryAllowance_}),
-      Splitter_(Run) {}
+      Splitter_(Run), Random_(Run) {}
 Entry::~Entry() = default;
 
 absl::Status Entry::start() {
@@ -94,6 +96,15 @@
   return std::chrono::milliseconds(Count);
 }
 
+// Calls of backend servers come without a team. They share the place of the least important one,
+// where requests of teams go before them only by their fair share.
+std::uint32_t Entry::leastTeamRank() const {
+  std::uint32_t Least = 0;
+  for (const FleetTeam &Team : Env_.Fleet_.config().Teams_)
+    Least = std::max(Least, Team.Rank_.value_or(0));
+  return Least;
+}
+
 std::optional<Entry::Refused> Entry::identify(HttpRequest &Request, Call &Work,
                                               const FleetRoute *&Route) {
   const std::string Key = takeCallerKey(Request);
@@ -104,14 +115,16 @@
   if (Route == nullptr)
     return Refused{Refusal::RouteUnknown, std::nullopt};
   std::uint32_t Rank = std::min(Route->Rank_, MaxRank);
+  std::uint32_t TeamRank = leastTeamRank();
   if (!Route->Open_ && !Env_.Fleet_.config().Teams_.empty()) {
     const auto Owner = Env_.Fleet_.keys().authenticate(Key);
     if (!Owner)
       return Refused{Key.empty() ? Refusal::KeyMissing : Refusal::KeyUnknown, std::nullopt};
     Work.Team_ = Owner->Team_;
     const FleetTeam *Team = Env_.Fleet_.findTeam(Owner->Team_);
-    Rank += (MaxRank + 1) * std::min(Team == nullptr ? 0U : Team->Rank_.value_or(0), MaxRank - 1);
+    TeamRank = Team == nullptr ? 0U : Team->Rank_.value_or(0);
   }
+  Rank += (MaxRank + 1) * std::min(TeamRank, MaxRank - 1);
   Work.Standing_.ClassRank_ = static_cast<std::uint8_t>(255 - Rank);
   return std::nullopt;
 }
@@ -176,6 +189,10 @@
   Work.Objective_ = Route.Objective_ > Duration::zero() ? Route.Objective_ : Work.TimeLeft_;
   Work.Class_ = ClassId(Route.Name_);
   Work.Service_ = Splitter_.next(Route);
+  if (!Work.Team_.empty() && isShed(Work.Service_, Route)) {
+    refuse(Request, Work, &Route, {Refusal::Overloaded, ShedRetry}, Exchange);
+    return;
+  }
   Work.Idempotent_ = Route.Idempotent_;
   Work.Method_ = std::move(Request.Method_);
   Work.Target_ = std::move(Request.Target_);
@@ -201,6 +218,20 @@
   Exchange->respond(refusalResponse(Why.Reason_, Work.Request_, Why.RetryAfter_));
 }
 
+bool Entry::isShed(const ServiceId &Service, const FleetRoute &Route) {
+  const double Share = shedShare(Shed_.of(now(), Service), Route.Rank_);
+  return Share > 0.0 && std::uniform_real_distribution<double>()(Random_) < Share;
+}
+
+void Entry::noteLoad(const Call &Work, const BackendLoad &Load) {
+  if (Load.Limit_ == 0)
+    return;
+  Budget_.noteCalls(Work.Service_, Load.MakesCalls_);
+  Shed_.report(now(), Work.Service_, Load.Shed_);
+  if (Work.Team_.empty())
+    Env_.Gate_.noteCalled(Work.Service_, Load.Shed_);
+}
+
 double Entry::expectedBytes(const Call &Work) const {
   const auto Found = Bytes_.find(Work.Class_.str());
   return Found == Bytes_.end() ? DefaultBytes : Found->second;
--- a/src/mesh/entry.h
+++ b/src/mesh/entry.h
@@ -2,6 +2,7 @@
 #define BRONZESTAND_MESH_ENTRY_H
 
 #include <map>
+#include <random>
 #include <unordered_map>
 
 #include <boost/smart_ptr/intrusive_ptr.hpp>
@@ -74,7 +75,12 @@
               const Refused &Why, const HttpExchangePtr &Exchange);
   void onAnswer(const HostId &From, const Answer &Result);
   void onLinkDown(const HostId &Host, LinkId Link);
+  std::uint32_t leastTeamRank() const;
   void serversChanged();
+  /// Tells whether a request of a caller gives way to more urgent work of an overloaded service in
+  /// its chain.
+  bool isShed(const ServiceId &Service, const FleetRoute &Route);
+  void noteLoad(const Call &Work, const BackendLoad &Load);
   double expectedBytes(const Call &Work) const;
   void noteBytes(const Call &Work, const Answer &Result);
 
@@ -85,6 +91,8 @@
   BackendChoice Choice_;
   RetryBudget Budget_;
   TrafficSplitter Splitter_;
+  ShedTable Shed_;
+  std::mt19937_64 Random_;
   std::unordered_map<std::string, double> Bytes_; ///< mean size of request and answer, by route
 };
 
--- a/src/mesh/entry_call.cpp
+++ b/src/mesh/entry_call.cpp
@@ -137,10 +137,9 @@
 void EntryCall::onAnswer(const Answer &Result) {
   if (Done_ || Result.Id_ != Work_.Id_)
     return;
-  if (Result.Load_.Limit_ != 0) {
+  if (Result.Load_.Limit_ != 0)
     Owner_.Choice_.report(now(), Server_, Result.Load_);
-    Owner_.Budget_.noteCalls(Work_.Service_, Result.Load_.MakesCalls_);
-  }
+  Owner_.noteLoad(Work_, Result.Load_);
   Owner_.noteBytes(Work_, Result);
   onTryEnd(Result);
 }
--- a/src/node/codec_call.cpp
+++ b/src/node/codec_call.cpp
@@ -5,6 +5,9 @@
 
 using nlohmann::json;
 
+/// Levels travel as whole hundredths.
+constexpr double ShedUnits = 100.0;
+
 // Bodies are bytes, not text, so they travel as CBOR byte strings.
 json toBinary(const std::string &Text) {
   return json::binary(std::vector<std::uint8_t>(Text.begin(), Text.end()));
@@ -39,7 +42,8 @@
 }
 
 void to_json(json &Out, const BackendLoad &In) {
-  Out = json::array({In.Running_, In.Waiting_, In.Limit_, In.ServiceTime_.count(), In.MakesCalls_});
+  Out = json::array({In.Running_, In.Waiting_, In.Limit_, In.ServiceTime_.count(), In.MakesCalls_,
+                     static_cast<unsigned>(In.Shed_ * ShedUnits)});
 }
 
 void from_json(const json &In, BackendLoad &Out) {
@@ -48,6 +52,7 @@
   In.at(2).get_to(Out.Limit_);
   Out.ServiceTime_ = Duration(In.at(3).get<Duration::rep>());
   In.at(4).get_to(Out.MakesCalls_);
+  Out.Shed_ = In.at(5).get<unsigned>() / ShedUnits;
 }
 
 void to_json(json &Out, const Call &In) {
--- /dev/null
+++ b/tests/unit/shed_level_test.cpp
@@ -0,0 +1,61 @@
+#include "bronzestand/shed_level.h"
+
+#include <algorithm>
+
+#include <catch2/catch.hpp>
+
+using namespace bronzestand;
+
+// Guards against urgent work that is refused while less urgent work is let through.
+TEST_CASE("shed_level_rising_least_urgent_work_goes_first") {
+  CHECK(shedShare(0.0, 2) == 0.0);
+  CHECK(shedShare(0.5, 2) == 0.5);
+  CHECK(shedShare(0.5, 1) == 0.0);
+  CHECK(shedShare(1.5, 2) == 1.0);
+  CHECK(shedShare(1.5, 1) == 0.5);
+  CHECK(shedShare(1.5, 0) == 0.0);
+  CHECK(shedShare(0.5, 9) == 0.5);
+  CHECK(shedShare(9.0, 0) == 1.0);
+}
+
+// Guards against a controller that lets an overloaded server refuse much, or leaves it idle. Two
+// thirds of the offered work are of the least urgent kind.
+TEST_CASE("shed_controller_demand_above_capacity_settles_near_capacity") {
+  ShedController Controller;
+  constexpr double Capacity = 100.0;
+  constexpr double Demand = 150.0;
+  double Offered = 0.0;
+  double Served = 0.0;
+  for (int Tick = 0; Tick < 400; ++Tick) {
+    const double Arrives = Demand * (2.0 / 3 * (1.0 - shedShare(Controller.level(), 2)) +
+                                     1.0 / 3 * (1.0 - shedShare(Controller.level(), 0)));
+    for (int Number = 0; Number < static_cast<int>(Arrives); ++Number) {
+      Controller.offered();
+      if (Number >= static_cast<int>(Capacity))
+        Controller.refused();
+    }
+    Controller.tick();
+    if (Tick < 100)
+      continue;
+    Offered += Arrives;
+    Served += std::min(Arrives, Capacity);
+  }
+  CHECK(Served >= 0.95 * Capacity * 300);
+  CHECK(Offered <= 1.05 * Served);
+  for (int Tick = 0; Tick < 100; ++Tick)
+    Controller.tick();
+  CHECK(Controller.level() < 0.01);
+}
+
+// Guards against a service that is refused for ever because nothing is sent to it.
+TEST_CASE("shed_table_without_answers_fades") {
+  ShedTable Table;
+  const TimePoint Start(std::chrono::seconds(100));
+  const ServiceId Service("a");
+  for (int Number = 0; Number < 50; ++Number)
+    Table.report(Start, Service, 2.0);
+  CHECK(Table.of(Start, Service) > 1.9);
+  CHECK(Table.highest(Start) > 1.9);
+  CHECK(Table.of(Start + std::chrono::seconds(5), Service) < 0.1);
+  CHECK(Table.of(Start, ServiceId("b")) == 0.0);
+}
