--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -8,27 +8,24 @@
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include "free_port.h"
+
 using namespace bronzestand;
 using namespace bronzestand::node;
 using boost::asio::ip::tcp;
 
 namespace {
 
-std::uint16_t freePort() {
-  boost::asio::io_context Io;
-  const tcp::acceptor Free(Io, {boost::asio::ip::make_address("127.0.0.1"), 0});
-  return Free.local_endpoint().port();
-}
-
 /// A server in a thread of its own that echoes method, target and body.
 struct ServerFixture {
-  ServerFixture() {
+  explicit ServerFixture(std::size_t Pipelined = 1) : Pipelined_(Pipelined) {
     Address_ = {"127.0.0.1", freePort()};
     std::promise<absl::Status> Started;
     Thread_ = std::thread([this, &Started] {
       HttpServerLimits Limits;
       Limits.BodyBytes_ = 1000;
       Limits.ReadTimeout_ = std::chrono::seconds(1);
+      Limits.Pipelined_ = Pipelined_;
       HttpServer Server(Io_, Address_, Limits,
                         [this](const HttpRequest &Request, const HttpExchangePtr &Exchange) {
                           handle(Request, Exchange);
@@ -77,6 +74,7 @@
     return Text.find(Part) != std::string::npos;
   }
 
+  std::size_t Pipelined_;
   boost::asio::io_context Io_;
   Endpoint Address_;
   std::thread Thread_;
@@ -169,3 +167,53 @@
     std::this_thread::yield();
   CHECK(Cancelled_ == 1);
 }
+
+namespace {
+
+/// Handles several requests of a connection at the same time.
+struct PipelineFixture : ServerFixture {
+  PipelineFixture() : ServerFixture(4) {}
+};
+
+} // namespace
+
+// Guards against a slow request that holds up the ones behind it, and against answers that
+// overtake.
+TEST_CASE_METHOD(PipelineFixture,
+                 "server_pipelined_requests_run_together_and_are_answered_in_order") {
+  boost::asio::io_context Io;
+  tcp::socket Socket(Io);
+  Socket.connect({boost::asio::ip::make_address(Address_.Address_), Address_.Port_});
+  const std::string Text = "GET /slow HTTP/1.1\r\nHost: a\r\n\r\n"
+                           "GET /2 HTTP/1.1\r\nHost: a\r\n\r\n"
+                           "GET /3 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+  boost::asio::write(Socket, boost::asio::buffer(Text));
+  const auto End = std::chrono::steady_clock::now() + std::chrono::seconds(2);
+  while (Handled_ < 3 && std::chrono::steady_clock::now() < End)
+    std::this_thread::yield();
+  CHECK(Handled_ == 3);
+  boost::asio::post(Io_, [this] { Held_->respond({200, {}, "slow"}); });
+  std::string Answer;
+  boost::system::error_code Ignored;
+  boost::asio::read(Socket, boost::asio::dynamic_buffer(Answer), Ignored);
+  CHECK(Answer.find("slow") < Answer.find("GET /2"));
+  CHECK(Answer.find("GET /2") < Answer.find("GET /3"));
+  CHECK(has(Answer, "GET /3"));
+}
+
+// Guards against work that goes on for a caller who has gone away while others are read ahead.
+TEST_CASE_METHOD(PipelineFixture, "server_caller_gone_cancels_while_reading_ahead") {
+  {
+    boost::asio::io_context Io;
+    tcp::socket Socket(Io);
+    Socket.connect({boost::asio::ip::make_address(Address_.Address_), Address_.Port_});
+    const std::string Text = "GET /slow HTTP/1.1\r\nHost: a\r\n\r\n";
+    boost::asio::write(Socket, boost::asio::buffer(Text));
+    while (Handled_ == 0)
+      std::this_thread::yield();
+  }
+  const auto End = std::chrono::steady_clock::now() + std::chrono::seconds(2);
+  while (Cancelled_ == 0 && std::chrono::steady_clock::now() < End)
+    std::this_thread::yield();
+  CHECK(Cancelled_ == 1);
+}
