--- a/src/mesh/entry.cpp
+++ b/src/mesh/entry.cpp
@@ -214,7 +214,11 @@
                         {"route", Route == nullptr ? "" : Route->Name_},
                         {"team", Work.Team_.str()},
                         {"path", pathOf(Request.Target_)},
-                        {"config_version", Env_.Fleet_.version()}});
+                        {"service", Work.Service_.str()},
+                        {"shed_level", Shed_.of(Now, Work.Service_)},
+                        {"retry_after_us", Why.RetryAfter_.value_or(Duration::zero()).count()},
+                        {"config_version", Env_.Fleet_.version()},
+                        {"revision", Env_.Fleet_.revision()}});
   Exchange->respond(refusalResponse(Why.Reason_, Work.Request_, Why.RetryAfter_));
 }
 
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -27,19 +27,34 @@
   --check          Check the settings, print all errors and exit.
   --help           Show this text.
 
-Signals: SIGTERM and SIGINT shut down gracefully; a second one ends at once.
+Signals: SIGTERM and SIGINT shut down gracefully; a second one ends at once. SIGHUP checks the
+settings again; they take effect at the next start.
 Exit codes: 0 stopped, 1 settings with errors, 2 wrong usage, 3 could not start.
 )";
 
 enum ExitCode { Stopped = 0, SettingsInvalid = 1, UsageInvalid = 2, StartFailed = 3 };
 
-template <typename Daemon> int serve(boost::asio::io_context &Io, Daemon &Running) {
-  boost::asio::signal_set Signals(Io, SIGTERM, SIGINT);
+/// Reads the settings again. All of them need a restart, so that a change is only reported.
+void reload(const std::string &File) {
+  const auto Loaded = bronzestand::node::loadSettings(File);
+  const auto Log = bronzestand::node::makeLogger("settings");
+  for (const auto &Error : Loaded.Errors_)
+    Log->error("{}", bronzestand::describe(Error));
+  Log->info("read {} again, {}", File,
+            Loaded.Errors_.empty() ? "it takes effect at the next start" : "it has errors");
+}
+
+template <typename Daemon>
+int serve(boost::asio::io_context &Io, Daemon &Running, const std::string &File) {
+  boost::asio::signal_set Signals(Io, SIGTERM, SIGINT, SIGHUP);
   std::function<void()> WaitForSignal = [&] {
-    Signals.async_wait([&](const boost::system::error_code &Failure, int) {
+    Signals.async_wait([&](const boost::system::error_code &Failure, int Number) {
       if (Failure)
         return;
-      Running.shutdown();
+      if (Number == SIGHUP)
+        reload(File);
+      else
+        Running.shutdown();
       WaitForSignal();
     });
   };
@@ -60,17 +75,17 @@
   return std::make_unique<bronzestand::platform::StoreWatch>(Io, Config, Fleet, Events);
 }
 
-int run(const bronzestand::node::Settings &Config) {
+int run(const bronzestand::node::Settings &Config, const std::string &File) {
   using namespace bronzestand::node;
   configureLogging(Config.Log_);
   std::signal(SIGPIPE, SIG_IGN);
   boost::asio::io_context Io(1);
   if (Config.Mesh_) {
     MeshNode Daemon(Io, Config, bronzestand::platform::headerNames(), makeStoreWatch);
-    return serve(Io, Daemon);
+    return serve(Io, Daemon, File);
   }
   Node Daemon(Io, Config);
-  return serve(Io, Daemon);
+  return serve(Io, Daemon, File);
 }
 
 } // namespace
@@ -86,7 +101,8 @@
     std::cerr << Usage;
     return UsageInvalid;
   }
-  const auto Loaded = bronzestand::node::loadSettings(Arguments["--settings"].asString());
+  const std::string File = Arguments["--settings"].asString();
+  const auto Loaded = bronzestand::node::loadSettings(File);
   for (const auto &Error : Loaded.Errors_)
     std::cerr << bronzestand::describe(Error) << "\n";
   if (!Loaded.Errors_.empty())
@@ -95,5 +111,5 @@
     std::cout << "settings are valid\n";
     return Stopped;
   }
-  return run(Loaded.Settings_);
+  return run(Loaded.Settings_, File);
 }
--- a/tests/integration/shutdown_test.cpp
+++ b/tests/integration/shutdown_test.cpp
@@ -208,3 +208,12 @@
   CHECK(Reply.outcome() == "unknown");
   CHECK(Reply.refusal() == "connection_lost");
 }
+
+// Guards against a node that ends because its settings file has changed.
+TEST_CASE_METHOD(ShutdownFixture, "shutdown_hangup_signal_does_not_end_the_node") {
+  Fleet_.node("book-1").signal(SIGHUP);
+  std::this_thread::sleep_for(milliseconds(200));
+  CHECK(Fleet_.node("book-1").isRunning());
+  CHECK(Fleet_.node("book-1").logTail().find("takes effect at the next start") !=
+        std::string::npos);
+}
