--- a/include/bronzestand/backend_choice.h
+++ b/include/bronzestand/backend_choice.h
@@ -30,8 +30,7 @@
 class BackendChoice {
 public:
   /// \param Region region of each data centre.
-  BackendChoice(DataCentreId Home, std::unordered_map<std::string, std::string> Region,
-                HostId Self);
+  BackendChoice(DataCentreId Home, std::unordered_map<std::string, std::string> Region);
 
   /// Chooses a server.
   /// \param Excluded ids of servers that this request has tried.
@@ -43,7 +42,7 @@
                               Duration Objective, double Bytes) const;
 
   void started(const std::string &Id);
-  void finished(TimePoint Now, const std::string &Id, TryResult Result, Duration Time);
+  void finished(TimePoint Now, const std::string &Id, TryResult Result);
   void report(TimePoint Now, const std::string &Id, const BackendLoad &Load);
   /// A node could not be reached; its server is avoided for a while.
   void unreachable(TimePoint Now, const std::string &Id);
@@ -54,7 +53,6 @@
   /// Time that a call of the service takes at its best server now, for the age of Retry-After.
   Duration expectedWait(TimePoint Now, const BackendDirectory &Directory,
                         const ServiceId &Service) const;
-  std::uint32_t inFlight(const std::string &Id) const;
   Locality localityOf(const BackendServer &Server) const;
 
 private:
@@ -78,7 +76,6 @@
 
   DataCentreId Home_;
   std::unordered_map<std::string, std::string> Region_;
-  HostId Self_;
   std::unordered_map<std::string, Record> Records_;
 };
 
--- a/include/bronzestand/backend_directory.h
+++ b/include/bronzestand/backend_directory.h
@@ -30,7 +30,7 @@
 public:
   /// Adds or replaces an entry.
   /// \return whether anything but its count of heartbeats changed.
-  bool put(TimePoint Now, BackendServer Entry);
+  bool put(BackendServer Entry);
   /// Removes an entry.
   /// \param Trusted the list was served without interruption, so the server has left or died.
   bool remove(TimePoint Now, const std::string &Id, bool Trusted);
--- a/src/engine/backend_choice.cpp
+++ b/src/engine/backend_choice.cpp
@@ -38,9 +38,8 @@
 
 } // namespace
 
-BackendChoice::BackendChoice(DataCentreId Home, std::unordered_map<std::string, std::string> Region,
-                             HostId Self)
-    : Home_(std::move(Home)), Region_(std::move(Region)), Self_(std::move(Self)) {}
+BackendChoice::BackendChoice(DataCentreId Home, std::unordered_map<std::string, std::string> Region)
+    : Home_(std::move(Home)), Region_(std::move(Region)) {}
 
 Locality BackendChoice::localityOf(const BackendServer &Server) const {
   if (Server.DataCentre_ == Home_)
@@ -129,8 +128,7 @@
   ++Item.SinceReport_;
 }
 
-void BackendChoice::finished(TimePoint Now, const std::string &Id, TryResult Result,
-                             Duration /*Time*/) {
+void BackendChoice::finished(TimePoint Now, const std::string &Id, TryResult Result) {
   Record &Item = Records_[Id];
   Item.InFlight_ -= Item.InFlight_ == 0 ? 0 : 1;
   if (Result == TryResult::Cancelled || Result == TryResult::Busy)
@@ -190,9 +188,4 @@
   return Best == Duration::max() ? Duration::zero() : Best;
 }
 
-std::uint32_t BackendChoice::inFlight(const std::string &Id) const {
-  const auto Found = Records_.find(Id);
-  return Found == Records_.end() ? 0 : Found->second.InFlight_;
-}
-
 } // namespace bronzestand
--- a/src/engine/backend_directory.cpp
+++ b/src/engine/backend_directory.cpp
@@ -14,7 +14,7 @@
 
 } // namespace
 
-bool BackendDirectory::put(TimePoint /*Now*/, BackendServer Entry) {
+bool BackendDirectory::put(BackendServer Entry) {
   Missing_.erase(Entry.Id_);
   BackendServer &Held = Entries_[Entry.Id_];
   if (Held.StartedMs_ > Entry.StartedMs_)
@@ -43,7 +43,7 @@
   bool Changed = false;
   for (BackendServer &Entry : Entries) {
     Listed.insert(Entry.Id_);
-    Changed = put(Now, std::move(Entry)) || Changed;
+    Changed = put(std::move(Entry)) || Changed;
   }
   std::vector<std::string> Lacking;
   for (const auto &[Id, Entry] : Entries_)
--- a/src/mesh/entry.cpp
+++ b/src/mesh/entry.cpp
@@ -40,15 +40,11 @@
   return Key;
 }
 
-std::unordered_map<std::string, std::string> regionsOf(const Settings &Config) {
-  return Config.Mesh_->Regions_;
-}
-
 } // namespace
 
 Entry::Entry(const Parts &Environment, Incarnation Run)
     : Env_(Environment), LastCall_(Run),
-      Choice_(Env_.Config_.DataCentre_, regionsOf(Env_.Config_), Env_.Config_.Host_),
+      Choice_(Env_.Config_.DataCentre_, Env_.Config_.Mesh_->Regions_),
       Budget_({Env_.Config_.Mesh_->RetryRatio_, Env_.Config_.Mesh_->RetryAllowance_}),
       Splitter_(Run), Random_(Run) {}
 Entry::~Entry() = default;
--- a/src/mesh/entry_call.cpp
+++ b/src/mesh/entry_call.cpp
@@ -194,7 +194,7 @@
     return;
   Arrivals_ += reachedServer(Result) ? 1 : 0;
   const TryResult End = CallerGone_ ? TryResult::Cancelled : resultOf(Result);
-  Owner_.Choice_.finished(now(), Server_, End, now() - TryStarted_);
+  Owner_.Choice_.finished(now(), Server_, End);
 }
 
 void EntryCall::onTryEnd(const Answer &Result) {
--- a/src/mesh/fleet_state.cpp
+++ b/src/mesh/fleet_state.cpp
@@ -56,7 +56,7 @@
   const bool Leaving = Entry.Leaving_;
   const std::string Host = Entry.Host_.str();
   const std::string Service = Entry.Service_.str();
-  if (!Directory_.put(now(), std::move(Entry)))
+  if (!Directory_.put(std::move(Entry)))
     return;
   Events_.write(
       now(), EventClass::Belief, "fleet_state", "server_listed",
--- a/src/mesh/fleet_state.h
+++ b/src/mesh/fleet_state.h
@@ -30,8 +30,6 @@
   /// \param Trusted as in BackendDirectory::remove().
   void remove(const std::string &Id, bool Trusted);
   void replace(std::vector<BackendServer> Entries, bool Trusted);
-  /// The platform's list was read in full at least once.
-  void setListed() { Listed_ = true; }
   /// Revision of a change that this node has taken in.
   void setRevision(Revision Value) { Known_ = std::max(Known_, Value); }
   Revision revision() const { return Known_; }
--- a/tests/unit/backend_choice_test.cpp
+++ b/tests/unit/backend_choice_test.cpp
@@ -12,8 +12,7 @@
 struct ChoiceFixture {
   BackendDirectory Directory_;
   BackendChoice Choice_{DataCentreId("galle"),
-                        {{"galle", "southern"}, {"matara", "southern"}, {"colombo", "western"}},
-                        HostId("10.0.0.9")};
+                        {{"galle", "southern"}, {"matara", "southern"}, {"colombo", "western"}}};
   TimePoint Now_{seconds(100)};
   ServiceId Service_{"orders"};
 
@@ -32,7 +31,7 @@
     Server.DataCentre_ = DataCentreId(DataCentre);
     Server.Slots_ = 10;
     Server.StartedMs_ = 1;
-    Directory_.put(Now_, Server);
+    Directory_.put(Server);
     Choice_.update(Now_, Directory_);
     Choice_.report(Now_, Id, {0, 0, 10, milliseconds(100), false});
   }
@@ -45,7 +44,7 @@
   void end(const std::string &Id, TryResult Result, int Times) {
     for (int Number = 0; Number < Times; ++Number) {
       Choice_.started(Id);
-      Choice_.finished(Now_, Id, Result, milliseconds(10));
+      Choice_.finished(Now_, Id, Result);
     }
   }
 };
@@ -100,13 +99,13 @@
 TEST_CASE_METHOD(ChoiceFixture, "choice_leaving_or_replaced_server_is_not_used") {
   BackendServer Leaving = *Directory_.find("i-near");
   Leaving.Leaving_ = true;
-  Directory_.put(Now_, Leaving);
+  Directory_.put(Leaving);
   CHECK(choose() == "i-region");
   BackendServer Other = *Directory_.find("i-region");
   Other.Id_ = "i-other";
   Other.Service_ = ServiceId("stock");
   Other.StartedMs_ = 2;
-  Directory_.put(Now_, Other);
+  Directory_.put(Other);
   CHECK(choose() == "i-far");
 }
 
@@ -115,7 +114,7 @@
   end("i-near", TryResult::Failed, 20);
   BackendServer Again = *Directory_.find("i-near");
   Again.StartedMs_ = 2;
-  Directory_.put(Now_, Again);
+  Directory_.put(Again);
   Choice_.update(Now_, Directory_);
   Choice_.report(Now_, "i-near", {0, 0, 10, milliseconds(100), false});
   CHECK(choose() == "i-near");
--- a/tests/unit/backend_directory_test.cpp
+++ b/tests/unit/backend_directory_test.cpp
@@ -29,18 +29,18 @@
 
 // Guards against calls to a server that has left while the list was sound.
 TEST_CASE_METHOD(DirectoryFixture, "directory_removed_from_sound_list_is_gone_at_once") {
-  Directory_.put(Now_, makeServer("i-1", "10.0.0.1"));
+  Directory_.put(makeServer("i-1", "10.0.0.1"));
   CHECK(Directory_.remove(Now_, "i-1", true));
   CHECK(Directory_.find("i-1") == nullptr);
 }
 
 // Guards against a fleet that loses its servers because the platform's list lapsed.
 TEST_CASE_METHOD(DirectoryFixture, "directory_lapsed_entry_is_kept_until_the_list_recovers") {
-  Directory_.put(Now_, makeServer("i-1", "10.0.0.1"));
-  Directory_.put(Now_, makeServer("i-2", "10.0.0.2"));
+  Directory_.put(makeServer("i-1", "10.0.0.1"));
+  Directory_.put(makeServer("i-2", "10.0.0.2"));
   CHECK_FALSE(Directory_.replace(Now_, {}, false));
   CHECK(Directory_.find("i-1") != nullptr);
-  Directory_.put(Now_ + seconds(1), makeServer("i-1", "10.0.0.1"));
+  Directory_.put(makeServer("i-1", "10.0.0.1"));
   CHECK_FALSE(Directory_.expire(Now_ + seconds(2)));
   CHECK(Directory_.expire(Now_ + seconds(3)));
   CHECK(Directory_.find("i-1") != nullptr);
@@ -51,22 +51,22 @@
 TEST_CASE_METHOD(DirectoryFixture, "directory_leaving_entry_is_not_kept") {
   BackendServer Server = makeServer("i-1", "10.0.0.1");
   Server.Leaving_ = true;
-  Directory_.put(Now_, Server);
+  Directory_.put(Server);
   CHECK(Directory_.remove(Now_, "i-1", false));
 }
 
 // Guards against a late entry of an earlier run that replaces the present one.
 TEST_CASE_METHOD(DirectoryFixture, "directory_entry_of_earlier_run_is_ignored") {
-  Directory_.put(Now_, makeServer("i-1", "10.0.0.1", 2));
+  Directory_.put(makeServer("i-1", "10.0.0.1", 2));
   BackendServer Old = makeServer("i-1", "10.0.0.1", 1);
   Old.Leaving_ = true;
-  CHECK_FALSE(Directory_.put(Now_, Old));
+  CHECK_FALSE(Directory_.put(Old));
   CHECK_FALSE(Directory_.find("i-1")->Leaving_);
 }
 
 // Guards against calls to a dead server whose address another one has taken over.
 TEST_CASE_METHOD(DirectoryFixture, "directory_reused_address_belongs_to_the_later_server") {
-  Directory_.put(Now_, makeServer("i-1", "10.0.0.1", 1));
-  Directory_.put(Now_, makeServer("i-2", "10.0.0.1", 2));
+  Directory_.put(makeServer("i-1", "10.0.0.1", 1));
+  Directory_.put(makeServer("i-2", "10.0.0.1", 2));
   CHECK(Directory_.at(HostId("10.0.0.1"))->Id_ == "i-2");
 }
