--- a/src/node/executor.cpp
+++ b/src/node/executor.cpp
@@ -244,7 +244,7 @@
                                           : Unknown_);
   if (Item.Claim_ != 0)
     Claims_.finished(Item.Claim_, Result);
-  Item.Done_(std::move(Result));
+  Item.Done_(Result);
   if (Item.Dispatched_)
     Queue_.finished(Item.Number_, now() - Item.Sent_, Item.Result_);
 }
