Handle requests that were read ahead behind a running one

Cause: with one request handled at a time, the connection waited for input after it had read the next requests already, and did not look at them once the first was answered. shutdown_answers_pipelined_requests_that_have_arrived found it (1 of 3 answered); the new unit test failed before and passes now. Ruled out: the drain itself. The mesh path reads 16 requests ahead and met it only beyond that.

--- a/src/node/http_server.cpp
+++ b/src/node/http_server.cpp
@@ -140,6 +140,7 @@
   Clock::time_point ReadLimit_ = Clock::time_point::max();
   Clock::time_point WriteLimit_ = Clock::time_point::max();
   bool Reading_ = false;
+  bool Watching_ = false;  ///< waits for input or the end of the connection, without reading
   bool Receiving_ = false; ///< a request has arrived in part
   bool Writing_ = false;
   bool NoMore_ = false; ///< no further request is read
@@ -323,12 +324,12 @@
     readRequest();
     return;
   }
-  if (Slots_.empty())
+  if (Slots_.empty() || Watching_)
     return;
-  Reading_ = true;
+  Watching_ = true;
   Socket_.async_wait(tcp::socket::wait_read, [Self = SessionPtr(this)](error_code Failure) {
-    Self->Reading_ = false;
-    if (Self->Closed_)
+    Self->Watching_ = false;
+    if (Self->Closed_ || Self->Reading_)
       return;
     char Byte = 0;
     const ssize_t Count = ::recv(Self->Socket_.native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -168,6 +168,25 @@
   CHECK(Cancelled_ == 1);
 }
 
+// Guards against requests that were read ahead and are never handled, because the connection waits
+// for more input.
+TEST_CASE_METHOD(ServerFixture, "server_requests_behind_a_running_one_are_handled_after_it") {
+  boost::asio::io_context Io;
+  tcp::socket Socket(Io);
+  Socket.connect({boost::asio::ip::make_address(Address_.Address_), Address_.Port_});
+  const std::string Text = "GET /slow HTTP/1.1\r\nHost: a\r\n\r\n"
+                           "GET /2 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+  boost::asio::write(Socket, boost::asio::buffer(Text));
+  while (Handled_ == 0)
+    std::this_thread::yield();
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  boost::asio::post(Io_, [this] { Held_->respond({200, {}, "slow"}); });
+  const auto End = std::chrono::steady_clock::now() + std::chrono::seconds(2);
+  while (Handled_ < 2 && std::chrono::steady_clock::now() < End)
+    std::this_thread::yield();
+  CHECK(Handled_ == 2);
+}
+
 namespace {
 
 /// Handles several requests of a connection at the same time.
