Add a fault soak that runs real nodes under random faults

Real nodes run as processes on loopback addresses; store, servers and callers are stand-ins in the driver, and a proxy stands in every path. Plans follow from a seed: signals, pauses, kills, cut, silent and slow links, a store that is down, silent, slow, forgetful or lapses its entries, servers that fail, reject, slow down, lose connections or leave, and changes of the configuration, in series and at once.

--- a/tests/integration/process.cpp
+++ b/tests/integration/process.cpp
@@ -69,11 +69,15 @@
   return ExitCode_;
 }
 
-std::string Process::logTail() const {
+std::string Process::log() const {
   std::ifstream In(LogFile_);
   std::ostringstream Text;
   Text << In.rdbuf();
-  const std::string All = Text.str();
+  return Text.str();
+}
+
+std::string Process::logTail() const {
+  const std::string All = log();
   return All.size() <= TailBytes ? All : "..." + All.substr(All.size() - TailBytes);
 }
 
--- a/tests/integration/process.h
+++ b/tests/integration/process.h
@@ -25,6 +25,8 @@
   bool isRunning();
   const std::string &name() const { return Name_; }
   pid_t pid() const { return Pid_; }
+  /// The whole output.
+  std::string log() const;
   /// The last lines of the output.
   std::string logTail() const;
 
--- /dev/null
+++ b/tests/soak/soak_faults.cpp
@@ -0,0 +1,298 @@
+// The faults of a soak run: what each kind does to nodes, links, store and servers.
+#include <csignal>
+
+#include <fmt/format.h>
+
+#include "soak_run.h"
+
+namespace bronzestand::soak {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Nodes start within this time.
+constexpr Duration StartTime = milliseconds(500);
+constexpr Duration StoreDelay = milliseconds(600);
+/// Entries of living servers are back this soon after the store.
+constexpr int MaxReturnMs = 1500;
+constexpr double ErrorShare = 0.5;
+/// Resets of a server's connections come in this interval and refuse new ones for this time.
+constexpr Duration ResetGap = milliseconds(100);
+constexpr Duration ResetTime = milliseconds(15);
+constexpr std::string_view Any = "*";
+
+} // namespace
+
+void SoakRun::inject(const Fault &Item) {
+  switch (Item.Kind_) {
+  case FaultKind::NodeTerm:
+  case FaultKind::NodeKill:
+  case FaultKind::NodePause:
+  case FaultKind::NodeHup:
+  case FaultKind::HerdKill:
+    injectNode(Item);
+    return;
+  case FaultKind::LinksHold:
+  case FaultKind::LinksOneWay:
+  case FaultKind::LinksReset:
+  case FaultKind::LinksSilent:
+  case FaultKind::LinksDelay:
+    injectLinks(Item);
+    return;
+  case FaultKind::ServerErrors:
+  case FaultKind::ServerFull:
+  case FaultKind::ServerSlow:
+  case FaultKind::ServerReset:
+  case FaultKind::ServerHold:
+  case FaultKind::ServerLeaves:
+    injectServer(Item);
+    return;
+  case FaultKind::ConfigChange:
+    changeConfig();
+    return;
+  default:
+    injectStore(Item);
+    return;
+  }
+}
+
+void SoakRun::injectNode(const Fault &Item) {
+  switch (Item.Kind_) {
+  case FaultKind::NodeTerm:
+    terminate(Item.Target_, Item.For_);
+    return;
+  case FaultKind::NodeKill:
+    kill(Item.Target_, Item.For_);
+    return;
+  case FaultKind::NodePause:
+    pause(Item.Target_, Item.For_);
+    return;
+  case FaultKind::HerdKill:
+    for (std::size_t Number = 0; Number < Nodes_.size(); Number += 2)
+      kill((Item.Target_ + Number) % Nodes_.size(), Item.For_);
+    return;
+  default:
+    if (Nodes_[Item.Target_].State_ != NodeState::Down)
+      Daemons_.process(Item.Target_)->signal(SIGHUP);
+    return;
+  }
+}
+
+void SoakRun::terminate(std::size_t Number, Duration StartAfter) {
+  Node &Item = Nodes_[Number];
+  if (Item.State_ == NodeState::Down)
+    return;
+  Book_.disturb(Number, node::now());
+  // A second signal ends the process at once, which planned work does not do.
+  if (Item.State_ == NodeState::Stopping && Plan_.Profile_ == Profile::Planned)
+    return;
+  Daemons_.process(Number)->signal(SIGTERM);
+  if (Item.State_ == NodeState::Stopping)
+    return;
+  Item.State_ = NodeState::Stopping;
+  Item.Stopping_ = node::now();
+  Item.Disturbed_ = Item.Pauses_ != 0;
+  Item.StartAfter_ = StartAfter;
+}
+
+void SoakRun::kill(std::size_t Number, Duration StartAfter) {
+  Node &Item = Nodes_[Number];
+  if (Item.State_ == NodeState::Down)
+    return;
+  Book_.disturb(Number, node::now() + StartAfter + StartTime);
+  Item.Disturbed_ = true;
+  Item.StartAfter_ = StartAfter;
+  Daemons_.process(Number)->signal(SIGKILL);
+}
+
+void SoakRun::pause(std::size_t Number, Duration For) {
+  Node &Item = Nodes_[Number];
+  if (Item.State_ == NodeState::Down)
+    return;
+  Book_.disturb(Number, node::now() + For);
+  Item.Disturbed_ = true;
+  ++Item.Pauses_;
+  Daemons_.process(Number)->signal(SIGSTOP);
+  after(For, [this, Number] {
+    if (--Nodes_[Number].Pauses_ == 0 && Nodes_[Number].State_ != NodeState::Down)
+      Daemons_.process(Number)->signal(SIGCONT);
+  });
+}
+
+void SoakRun::watchNodes() {
+  for (std::size_t Number = 0; Number < Nodes_.size(); ++Number)
+    if (Nodes_[Number].State_ != NodeState::Down && !Daemons_.process(Number)->isRunning())
+      noteEnd(Number);
+}
+
+void SoakRun::noteEnd(std::size_t Number) {
+  Node &Item = Nodes_[Number];
+  const Duration Took = node::now() - Item.Stopping_;
+  const auto Code = Daemons_.process(Number)->wait(milliseconds(0));
+  if (Item.State_ == NodeState::Running && !Item.Disturbed_)
+    Book_.violated(Promise::EndsInGrace, "",
+                   fmt::format("node {} ended by itself with {}", Number, Code.value_or(-1)));
+  if (Item.State_ == NodeState::Stopping && !Item.Disturbed_ &&
+      (Code != 0 || Took > Bounds().Grace_ + EndSlack))
+    Book_.violated(Promise::EndsInGrace, "",
+                   fmt::format("node {} ended with {} after {} ms", Number, Code.value_or(-1),
+                               std::chrono::duration_cast<milliseconds>(Took).count()));
+  Item.State_ = NodeState::Down;
+  Book_.disturb(Number, node::now() + Item.StartAfter_ + StartTime);
+  after(Item.StartAfter_, [this, Number] { startNode(Number); });
+}
+
+void SoakRun::startNode(std::size_t Number) {
+  if (Ending_)
+    return;
+  Daemons_.start(Number);
+  Node &Item = Nodes_[Number];
+  Item.State_ = NodeState::Running;
+  Item.Disturbed_ = false;
+  if (Item.Pauses_ != 0)
+    Daemons_.process(Number)->signal(SIGSTOP);
+}
+
+void SoakRun::injectLinks(const Fault &Item) {
+  const std::string Host = Daemons_.hostName(Item.Target_);
+  Book_.disturb(Item.Target_, node::now() + Item.For_);
+  const auto Both = [this, Host](const std::string &Mode) {
+    Daemons_.setRule(Host, std::string(Any), Mode);
+    Daemons_.setRule(std::string(Any), Host, Mode);
+  };
+  switch (Item.Kind_) {
+  case FaultKind::LinksHold:
+    Both("hold");
+    break;
+  case FaultKind::LinksReset:
+    Both("cut");
+    break;
+  case FaultKind::LinksOneWay:
+    Daemons_.setRule(std::string(Any), Host, "hold");
+    break;
+  case FaultKind::LinksDelay:
+    Daemons_.setRule(std::string(Any), Host, "delay");
+    break;
+  default:
+    Daemons_.freeze(std::string(Any), Host);
+    Daemons_.freeze(Host, std::string(Any));
+    return;
+  }
+  after(Item.For_, [Both] { Both("pass"); });
+}
+
+void SoakRun::injectStore(const Fault &Item) {
+  const TimePoint End = node::now() + Item.For_;
+  const std::string Name = Daemons::storeName(Item.Target_);
+  const auto Path = [this, Name](const std::string &Mode) {
+    Daemons_.setRule(Name, std::string(Any), Mode);
+    Daemons_.setRule(std::string(Any), Name, Mode);
+  };
+  switch (Item.Kind_) {
+  case FaultKind::StoreHold:
+  case FaultKind::StoreReset:
+    Book_.disturb(Item.Target_, End);
+    Path(Item.Kind_ == FaultKind::StoreHold ? "hold" : "cut");
+    after(Item.For_, [Path] { Path("pass"); });
+    return;
+  case FaultKind::StoreDown:
+    Store_.setFailure(503);
+    after(Item.For_, [this] { Store_.setFailure(0); });
+    break;
+  case FaultKind::StoreSilent:
+    Store_.setSilent(true);
+    after(Item.For_, [this] { Store_.setSilent(false); });
+    break;
+  case FaultKind::StoreSlow:
+    Store_.setDelay(std::chrono::duration_cast<milliseconds>(StoreDelay));
+    after(Item.For_, [this] { Store_.setDelay(milliseconds(0)); });
+    break;
+  case FaultKind::StoreForgets:
+    Store_.holdWatches();
+    changeConfig();
+    after(Item.For_, [this] { Store_.forgetHistory(); });
+    break;
+  default:
+    lapse(Item.For_);
+    break;
+  }
+  Book_.disturbStore(End);
+}
+
+void SoakRun::lapse(Duration For) {
+  Store_.setFailure(503);
+  after(For / 2, [this] {
+    for (const auto &Item : Servers_)
+      Store_.remove("servers/" + Item->id());
+  });
+  after(For, [this] {
+    Store_.setFailure(0);
+    std::uniform_int_distribution<int> Return(0, MaxReturnMs);
+    for (std::size_t Number = 0; Number < Nodes_.size(); ++Number)
+      after(milliseconds(Return(Random_)), [this, Number] {
+        if (!Nodes_[Number].Gone_)
+          list(Number, Nodes_[Number].Leaves_ ? "draining" : "ready");
+      });
+  });
+}
+
+void SoakRun::injectServer(const Fault &Item) {
+  Server &Target = *Servers_[Item.Target_];
+  const std::string Name = Daemons::serverName(Item.Target_);
+  const auto Path = [this, Name](const std::string &Mode) {
+    Daemons_.setRule(Name, std::string(Any), Mode);
+    Daemons_.setRule(std::string(Any), Name, Mode);
+  };
+  switch (Item.Kind_) {
+  case FaultKind::ServerErrors:
+    Target.setErrorShare(ErrorShare);
+    after(Item.For_, [&Target] { Target.setErrorShare(0.0); });
+    return;
+  case FaultKind::ServerFull:
+    Target.setFull(true);
+    after(Item.For_, [&Target] { Target.setFull(false); });
+    return;
+  case FaultKind::ServerSlow:
+    Target.setSlow(true);
+    after(Item.For_, [&Target] { Target.setSlow(false); });
+    return;
+  case FaultKind::ServerReset:
+    Book_.disturb(Item.Target_, node::now() + Item.For_);
+    // Again and again, so that requests are cut while they run.
+    for (Duration At{}; At <= Item.For_; At += ResetGap) {
+      after(At, [Path] { Path("cut"); });
+      after(At + ResetTime, [Path] { Path("pass"); });
+    }
+    return;
+  case FaultKind::ServerHold:
+    Book_.disturb(Item.Target_, node::now() + Item.For_);
+    Path("hold");
+    after(Item.For_, [Path] { Path("pass"); });
+    return;
+  default:
+    leave(Item.Target_, Item.For_);
+    return;
+  }
+}
+
+// The server drains and goes on for a while; later another one has its address.
+void SoakRun::leave(std::size_t Number, Duration For) {
+  Node &Item = Nodes_[Number];
+  if (Item.Leaves_)
+    return;
+  Item.Leaves_ = true;
+  list(Number, "draining");
+  Book_.leaving(Servers_[Number]->id());
+  after(For, [this, Number] {
+    Store_.remove("servers/" + Servers_[Number]->id());
+    Nodes_[Number].Gone_ = true;
+    Servers_[Number]->replace();
+  });
+  after(For + seconds(1), [this, Number] {
+    Nodes_[Number].Leaves_ = Nodes_[Number].Gone_ = false;
+    list(Number, "ready");
+  });
+}
+
+} // namespace bronzestand::soak
--- /dev/null
+++ b/tests/soak/soak_run.h
@@ -0,0 +1,126 @@
+#ifndef BRONZESTAND_TESTS_SOAK_SOAK_RUN_H
+#define BRONZESTAND_TESTS_SOAK_SOAK_RUN_H
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+
+#include "daemons.h"
+#include "ledger.h"
+#include "plan.h"
+#include "servers.h"
+#include "standins/platform_store.h"
+
+namespace bronzestand::soak {
+
+struct RunOptions {
+  std::uint64_t Seed_ = 1;
+  std::size_t Nodes_ = 8;
+  Duration Length_ = std::chrono::seconds(12); ///< of the time with faults
+  double RequestsPerNode_ = 15.0;              ///< a second
+};
+
+/// One run: a fleet of real nodes with stand-ins for store, servers and callers, the faults of a
+/// plan, and the checks.
+class SoakRun {
+public:
+  SoakRun(const RunOptions &Options, std::string Directory);
+  ~SoakRun();
+
+  void run();
+  const Ledger &ledger() const { return Book_; }
+  const Plan &plan() const { return Plan_; }
+  std::string logs() const { return Daemons_.logs(); }
+
+private:
+  /// A process that ends this much after the grace period has missed it; the rest is the driver's
+  /// own delay on a busy machine.
+  static constexpr Duration EndSlack = std::chrono::milliseconds(500);
+
+  enum class NodeState { Running, Stopping, Down };
+  struct Node {
+    NodeState State_ = NodeState::Down;
+    TimePoint Stopping_{};   ///< time of the first SIGTERM
+    bool Disturbed_ = false; ///< paused or killed since then
+    int Pauses_ = 0;
+    Duration StartAfter_{}; ///< from its end to the next start
+    bool Leaves_ = false;   ///< its server drains
+    bool Gone_ = false;     ///< its server has ended, the next one is not listed yet
+    std::unique_ptr<node::HttpClient> Callers_;
+    std::unique_ptr<node::HttpClient> OwnCalls_; ///< of its server
+  };
+  /// What a caller asks for.
+  struct Ask {
+    std::string Method_;
+    std::string Path_;
+    std::string Key_;
+    std::string Team_;
+    std::string Service_;
+    bool Idempotent_ = true;
+    unsigned MaxRuns_ = 1;
+    Duration Timeout_{};
+    unsigned Unexpected_ = 0; ///< status that would show an old configuration; 0 for none
+    unsigned Wanted_ = 0;     ///< only status that shows the new configuration; 0 for any
+  };
+
+  void at(TimePoint Time, std::function<void()> Step);
+  void after(Duration Time, std::function<void()> Step);
+  /// Runs until a condition holds. \return whether it did in time.
+  bool until(Duration Limit, const std::function<bool()> &Holds);
+  void runDue();
+
+  void start();
+  void sendNext(std::size_t Node);
+  Ask chooseAsk();
+  Ask browse() const;
+  Ask probe();
+  void send(std::size_t Node, const Ask &What);
+  void callOf(std::size_t Node, const std::function<void(bool Served)> &Done);
+  node::HttpRequest request(const Ask &What, Duration Deadline, Sent &Record, std::size_t Node);
+
+  void inject(const Fault &Item);
+  void injectNode(const Fault &Item);
+  void injectLinks(const Fault &Item);
+  void injectStore(const Fault &Item);
+  void injectServer(const Fault &Item);
+  void terminate(std::size_t Node, Duration StartAfter);
+  void kill(std::size_t Node, Duration StartAfter);
+  void pause(std::size_t Node, Duration For);
+  /// Notices ends of processes and starts them again.
+  void watchNodes();
+  void noteEnd(std::size_t Node);
+  void startNode(std::size_t Node);
+  void leave(std::size_t Node, Duration For);
+  void lapse(Duration For);
+  void list(std::size_t Node, const std::string &State);
+  void changeConfig();
+  void recover();
+  void stopNodes();
+
+  RunOptions Options_;
+  Plan Plan_;
+  std::mt19937_64 Random_;
+  boost::asio::io_context Io_;
+  Ledger Book_;
+  Daemons Daemons_;
+  standin::PlatformStore Store_;
+  std::vector<std::unique_ptr<Server>> Servers_;
+  std::vector<Node> Nodes_;
+  std::multimap<TimePoint, std::function<void()>> Steps_;
+  std::uint64_t Requests_ = 0;
+  unsigned Version_ = 0; ///< of the configuration; names its routes and keys too
+  TimePoint Changed_{};
+  TimePoint FaultsStart_{};
+  bool Sending_ = false;
+  bool Ending_ = false;  ///< nodes that end are not started again
+  std::size_t Open_ = 0; ///< requests without an end
+};
+
+} // namespace bronzestand::soak
+
+#endif
--- a/tests/standins/fault_proxy.cpp
+++ b/tests/standins/fault_proxy.cpp
@@ -1,13 +1,15 @@
 // TCP proxy between nodes that injects faults. Each --route NAME=LISTEN=TARGET forwards one
 // listener to one host. The opener of a connection is known from the Bronzestand-Host header of
 // the WebSocket upgrade. /control/rule?from=A&to=B&mode=M sets what happens to bytes from A to B:
-// pass, hold (silent, nothing is closed) or cut (connections are reset and refused).
+// pass, hold (silent, nothing is closed), cut (connections are reset and refused) or delay (bytes
+// come late).
 // /control/freeze?from=A&to=B makes the open connections silent for good; new ones work.
 #include <array>
 #include <list>
 #include <memory>
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
 #include "standin.h"
@@ -20,6 +22,8 @@
 namespace {
 
 constexpr std::string_view HostHeader = "Bronzestand-Host: ";
+/// How late bytes come in the mode delay; more than a round trip between far regions.
+constexpr std::chrono::milliseconds Delay{150};
 
 class Rules {
 public:
@@ -109,6 +113,19 @@
       };
       return;
     }
+    if (Mode == "delay") {
+      auto Timer = std::make_shared<boost::asio::steady_timer>(Out.get_executor(), Delay);
+      Timer->async_wait([=, &In, &Out, &Data](error_code) {
+        if (Timer && Self->isOpen())
+          Self->write(In, Out, Data, Size, Upward);
+      });
+      return;
+    }
+    write(In, Out, Data, Size, Upward);
+  }
+
+  void write(tcp::socket &In, tcp::socket &Out, Chunk &Data, std::size_t Size, bool Upward) {
+    auto Self = shared_from_this();
     boost::asio::async_write(Out, boost::asio::buffer(Data.data(), Size),
                              [=, &In, &Out, &Data](error_code Failure, std::size_t) {
                                if (Failure)
