Let repeats use what the last ten seconds have earned

A node kept four repeats at most. A request could also not go back to a server that had rejected it without running it, once it had reached the allowed number of servers.

Change: a node counts first sends and repeats in slots of half a second and repeats a part of the mean of the present window and the one half a window before. Calls can't use what requests of teams have earned. A rejected request may go again to a server that rejected it.

--- a/src/mesh/entry.cpp
+++ b/src/mesh/entry.cpp
@@ -194,7 +194,7 @@
   Work.Target_ = std::move(Request.Target_);
   Work.Headers_ = std::move(Request.Headers_);
   Work.Body_ = std::move(Request.Body_);
-  Budget_.noteFirst(Work.Service_);
+  Budget_.noteFirst(now(), Work.Service_, !Work.Team_.empty());
   const EntryCallPtr Item(new EntryCall(*this, std::move(Work), Exchange, Route.MaxRuns_));
   Item->start();
 }
--- a/src/mesh/entry_call.cpp
+++ b/src/mesh/entry_call.cpp
@@ -8,8 +8,9 @@
 namespace bronzestand::node {
 namespace {
 
-/// Tries of one request, most of which end at a node's queue and reach no backend server.
-constexpr std::uint32_t MaxTries = 4;
+/// Tries of one request; most of them end at a node's queue, or are rejected by a server that fails
+/// part of its requests.
+constexpr std::uint32_t MaxTries = 6;
 /// A lost answer is asked for in this interval, over a new link.
 constexpr Duration QueryInterval = std::chrono::milliseconds(400);
 constexpr std::uint32_t MaxQueries = 3;
@@ -82,9 +83,7 @@
   // Each try has an id of its own, so that a late answer to an earlier one is not taken for this.
   Work_.Id_ = ++Owner_.LastCall_;
   Owner_.Running_.emplace(Work_.Id_, Keep);
-  const BackendServer *Server =
-      Owner_.Choice_.choose(Now, Owner_.Env_.Fleet_.servers(), Work_.Service_, Tried_, Objective_,
-                            Owner_.expectedBytes(Work_));
+  const BackendServer *Server = chooseServer(Now);
   if (Server == nullptr) {
     finish(Answer::refused(Work_.Id_, Refusal::NoBackendServer));
     return;
@@ -116,6 +115,21 @@
   });
 }
 
+// A request may go to a number of servers. Beyond it, it may go again to one that rejected it,
+// which may be full for a moment or reject a part of its requests only.
+const BackendServer *EntryCall::chooseServer(TimePoint Now) const {
+  const BackendDirectory &Servers = Owner_.Env_.Fleet_.servers();
+  std::set<std::string> Excluded = Tried_;
+  if (Reached_.size() >= MaxRuns_) {
+    Excluded.clear();
+    for (const BackendServer *Server : Servers.of(Work_.Service_))
+      if (Rejected_.count(Server->Id_) == 0)
+        Excluded.insert(Server->Id_);
+  }
+  return Owner_.Choice_.choose(Now, Servers, Work_.Service_, Excluded, Objective_,
+                               Owner_.expectedBytes(Work_));
+}
+
 void EntryCall::sendRemote() {
   // A call that was reported as not run must not leave the node when a link opens later.
   Owner_.Env_.Links_.send(
@@ -184,15 +198,23 @@
     return false;
   if (Result.Outcome_ == Outcome::NotRun && Result.Refusal_ == Refusal::Cancelled)
     return false;
-  if (Arrivals_ == 0)
+  if (Reached_.empty())
     return true;
-  return Arrivals_ < MaxRuns_ && Owner_.Budget_.take(Work_.Service_, !Work_.Team_.empty());
+  return (Reached_.size() < MaxRuns_ || !Rejected_.empty()) &&
+         Owner_.Budget_.take(now(), Work_.Service_, !Work_.Team_.empty());
 }
 
 void EntryCall::endTry(const Answer &Result) {
   if (!std::exchange(TryRuns_, false))
     return;
-  Arrivals_ += reachedServer(Result) ? 1 : 0;
+  if (reachedServer(Result)) {
+    ++Arrivals_;
+    Reached_.insert(Server_);
+  }
+  if (Result.Outcome_ == Outcome::NotRun && Result.Refusal_ == Refusal::BackendRejected)
+    Rejected_.insert(Server_);
+  else
+    Rejected_.erase(Server_);
   const TryResult End = CallerGone_ ? TryResult::Cancelled : resultOf(Result);
   Owner_.Choice_.finished(now(), Server_, End);
 }
--- a/src/mesh/entry_call.h
+++ b/src/mesh/entry_call.h
@@ -31,6 +31,7 @@
   using Ptr = boost::intrusive_ptr<EntryCall>;
 
   void attempt();
+  const BackendServer *chooseServer(TimePoint Now) const;
   void sendRemote();
   void onSent(std::uint32_t Try, LinkId Link);
   void query();
@@ -53,8 +54,10 @@
   TimePoint Started_;
   TimePoint Deadline_;
   Duration Objective_;
-  std::set<std::string> Tried_; ///< ids of backend servers
-  std::string Server_;          ///< id of the backend server of the present try
+  std::set<std::string> Tried_;    ///< ids of backend servers
+  std::set<std::string> Reached_;  ///< those that the request arrived at, or may have
+  std::set<std::string> Rejected_; ///< those of them that did not run it and may be tried again
+  std::string Server_;             ///< id of the backend server of the present try
   HostId Host_;
   LinkId Link_ = 0;         ///< link that the call was sent over; 0 while it waits for one
   Incarnation HostRun_ = 0; ///< incarnation that is asked for the call; 0 if none is
