--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -45,6 +45,7 @@
   enum class NodeState { Running, Stopping, Down };
   struct Node {
     NodeState State_ = NodeState::Down;
+    TimePoint Started_{};
     TimePoint Stopping_{};   ///< time of the first SIGTERM
     bool Disturbed_ = false; ///< paused or killed since then
     int Pauses_ = 0;
