Log how old a node's knowledge of the store is

The logs could not tell a watch that hangs from a change that was skipped or a 404 that a backend server sent: a refusal named the revision of the node, but not when the store had last answered, and a request without an answer looked like a lost connection.

No decision uses the new values yet.

--- a/src/mesh/backend_gate.cpp
+++ b/src/mesh/backend_gate.cpp
@@ -212,7 +212,11 @@
     ReducedSlots_ = std::min(ReducedSlots_ + ReduceStep, MaxReducedShare * limit());
     return Answer::refused(Request.Id_, Refusal::BackendRejected);
   }
-  if (Response.Status_ < 400 && !isFromServer(Request, Response))
+  const bool Signed = isFromServer(Request, Response);
+  if (!Signed)
+    Events_.write(now(), EventClass::Decision, "backend_gate", "answer_unsigned",
+                  {{"request", Request.Request_.str()}, {"status", Response.Status_}});
+  if (Response.Status_ < 400 && !Signed)
     return Answer::refused(Request.Id_, Refusal::ConnectionLost);
   Answer Done;
   Done.Id_ = Request.Id_;
--- a/src/mesh/entry.cpp
+++ b/src/mesh/entry.cpp
@@ -234,7 +234,9 @@
                         {"shed_level", Shed_.of(Now, Outgoing.Service_)},
                         {"retry_after_us", Details.RetryAfter_.value_or(Duration::zero()).count()},
                         {"config_version", Env_.Fleet_.version()},
-                        {"revision", Env_.Fleet_.revision()}});
+                        {"revision", Env_.Fleet_.revision()},
+                        {"peer_revision", Env_.Fleet_.peerRevision()},
+                        {"confirmed_age_us", Env_.Fleet_.confirmationAge(Now).count()}});
   Exchange->respond(refusalResponse(Details.Reason_, Outgoing.Request_, Details.RetryAfter_));
 }
 
--- a/src/mesh/fleet_state.cpp
+++ b/src/mesh/fleet_state.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <fmt/format.h>
+
 #include "node/clock.h"
 
 namespace bronzestand::node {
@@ -13,16 +15,18 @@
 } // namespace
 
 FleetState::FleetState(const Settings &Config, EventLog &Events)
-    : Host_(Config.Host_), Events_(Events) {}
+    : Host_(Config.Host_), Events_(Events), ConfirmedAt_(now()) {}
 
 void FleetState::apply(FleetConfig Config) {
   if (Config.Version_ <= Config_.Version_)
     return;
-  Events_.write(now(), EventClass::Belief, "fleet_state", "config_in_force",
+  const TimePoint Now = now();
+  Events_.write(Now, EventClass::Belief, "fleet_state", "config_in_force",
                 {{"version", Config.Version_},
                  {"previous", Config_.Version_},
                  {"routes", Config.Routes_.size()},
-                 {"teams", Config.Teams_.size()}});
+                 {"teams", Config.Teams_.size()},
+                 {"confirmed_age_us", confirmationAge(Now).count()}});
   std::set<TeamId> Names;
   for (const FleetTeam &Team : Config.Teams_) {
     Names.insert(Team.Spec_.Name_);
@@ -108,10 +112,23 @@
                        {"data_centre", Server.DataCentre_.str()},
                        {"slots", Server.Slots_},
                        {"leaving", Server.Leaving_}});
-  return {{"version", Config_.Version_},    {"revision", Known_},
-          {"peer_revision", PeerRevision_}, {"routes", Config_.Routes_.size()},
-          {"teams", Config_.Teams_.size()}, {"listed", Listed_},
+  return {{"version", Config_.Version_},
+          {"revision", Known_},
+          {"peer_revision", PeerRevision_},
+          {"confirmed_age_us", confirmationAge(now()).count()},
+          {"routes", Config_.Routes_.size()},
+          {"teams", Config_.Teams_.size()},
+          {"listed", Listed_},
           {"servers", std::move(Servers)}};
 }
 
+void FleetState::print(TimePoint Now, std::string &Out) const {
+  Out += fmt::format(
+      "# HELP bronzestand_config_version Version of the configuration in force\n"
+      "# TYPE bronzestand_config_version gauge\nbronzestand_config_version {}\n"
+      "# HELP bronzestand_confirmed_age_seconds Time since the platform last answered\n"
+      "# TYPE bronzestand_confirmed_age_seconds gauge\nbronzestand_confirmed_age_seconds {:.3f}\n",
+      Config_.Version_, std::chrono::duration<double>(confirmationAge(Now)).count());
+}
+
 } // namespace bronzestand::node
--- a/src/mesh/fleet_state.h
+++ b/src/mesh/fleet_state.h
@@ -37,6 +37,14 @@
   /// Records that another node knows this revision. If this node does not receive it soon, its
   /// connection to the platform is assumed to be dead and is replaced.
   void noteRevision(Revision Other);
+  /// Records that the platform answered, so that this node has all changes up to now.
+  void noteConfirmed(TimePoint Now) { ConfirmedAt_ = Now; }
+  /// Returns the time since the platform last answered; since the start if it never did.
+  Duration confirmationAge(TimePoint Now) const { return Now - ConfirmedAt_; }
+  /// Highest revision that other nodes have told this one.
+  Revision peerRevision() const { return PeerRevision_; }
+  /// Appends metrics as Prometheus text.
+  void print(TimePoint Now, std::string &Out) const;
 
   /// Returns whether requests can be served: a configuration and a server list have been received.
   bool isReady() const { return Config_.Version_ != 0 && Listed_; }
@@ -76,6 +84,7 @@
   Revision Known_ = 0;
   Revision PeerRevision_ = 0; ///< highest revision that other nodes know
   TimePoint BehindSince_{};
+  TimePoint ConfirmedAt_;
   std::vector<Callback> OnConfig_;
   std::vector<Callback> OnServers_;
   Callback Refresh_;
--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -189,6 +189,7 @@
     if (pathOf(Request.Target_) == "/metrics") {
       std::string Text = Metrics_.text();
       Shares_.print(Text);
+      Fleet_.print(now(), Text);
       Exchange->respond(page(200, "text/plain; version=0.0.4", std::move(Text)));
       return;
     }
