--- a/tests/standins/platform_store.h
+++ b/tests/standins/platform_store.h
@@ -64,6 +64,11 @@
     for (const WatchPtr &Item : std::exchange(Waiting_, {}))
       answer(Item->Exchange_, 410, {});
   }
+  /// Ends the watches that wait with a status.
+  void failWatches(unsigned Status) {
+    for (const WatchPtr &Item : std::exchange(Waiting_, {}))
+      answer(Item->Exchange_, Status, {});
+  }
   /// Never answers the watches that wait now, as when their connections have gone silent.
   void silenceWatches() {
     for (WatchPtr &Item : std::exchange(Waiting_, {}))
@@ -71,6 +76,7 @@
   }
 
   Revision revision() const { return Revision_; }
+  std::size_t waitingWatches() const { return Waiting_.size(); }
   bool isWatched() const { return !Waiting_.empty(); }
   int watches() const { return Watches_; }
   int listings() const { return Listings_; }
--- /dev/null
+++ b/tests/unit/mesh_fixture.h
@@ -0,0 +1,131 @@
+#ifndef BRONZESTAND_TESTS_MESH_FIXTURE_H
+#define BRONZESTAND_TESTS_MESH_FIXTURE_H
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include "free_port.h"
+#include "mesh/mesh_node.h"
+#include "node/http_client.h"
+#include "standins/platform_store.h"
+#include "store_watch.h"
+#include "wire_names.h"
+
+namespace bronzestand {
+
+/// Whole nodes in one process, each on a loopback address of its own, with a stand-in of the
+/// platform's store. There are no backend servers: requests that are admitted are refused later.
+struct MeshFixture {
+  using json = nlohmann::json;
+  using milliseconds = std::chrono::milliseconds;
+
+  boost::asio::io_context Io_;
+  const std::uint16_t StorePort_ = freePort();
+  const std::uint16_t CallerPort_ = freePort();
+  const std::uint16_t PeerPort_ = freePort();
+  const std::uint16_t OperatorPort_ = freePort();
+  const std::uint16_t BackendPort_ = freePort();
+  standin::PlatformStore Store_{Io_, {"127.0.0.1", StorePort_}};
+  std::vector<std::unique_ptr<node::MeshNode>> Nodes_;
+
+  MeshFixture() { REQUIRE(Store_.start().ok()); }
+  ~MeshFixture() { Store_.stop(); }
+  MeshFixture(const MeshFixture &) = delete;
+  MeshFixture &operator=(const MeshFixture &) = delete;
+
+  /// Starts a node that reads from the store, or from another address in its place.
+  void startNode(const std::string &Host, std::optional<std::uint16_t> StorePort = std::nullopt) {
+    node::Settings Config;
+    Config.Host_ = HostId(Host);
+    Config.DataCentre_ = DataCentreId("z");
+    Config.Region_ = RegionId("r");
+    Config.Service_ = ServiceId("s");
+    Config.CallerListen_ = {Host, CallerPort_};
+    Config.PeerListen_ = {Host, PeerPort_};
+    Config.OperatorListen_ = {Host, OperatorPort_};
+    Config.BackendServer_ = {Host, BackendPort_};
+    Config.Mesh_.emplace();
+    Config.Mesh_->Store_ = {"127.0.0.1", StorePort.value_or(StorePort_)};
+    Config.Mesh_->Regions_ = {{"z", "r"}};
+    Nodes_.push_back(std::make_unique<node::MeshNode>(
+        Io_, Config, platform::headerNames(),
+        [](boost::asio::io_context &Io, const node::Settings &Values, node::FleetState &Fleet,
+           node::EventLog &Events) {
+          return std::make_unique<platform::StoreWatch>(Io, Values, Fleet, Events);
+        }));
+    REQUIRE(Nodes_.back()->start().ok());
+  }
+
+  void putServer(const std::string &Id, const std::string &Host) {
+    Store_.put("servers/" + Id, json{{"Address", Host + ":" + std::to_string(BackendPort_)},
+                                     {"Info", {{"Service", "s"}, {"Zone", "z"}, {"Slots", 4}}},
+                                     {"Status", {{"State", "ready"}, {"ColdRemainingMs", 0}}},
+                                     {"born", 5}}
+                                    .dump());
+  }
+  /// Stores a configuration with routes of the host name "a.example" that need no key.
+  void putConfig(std::uint64_t Version, const std::vector<std::string> &Prefixes) {
+    json Rows = json::array();
+    for (const std::string &Prefix : Prefixes)
+      Rows.push_back({"r" + Prefix, "a.example", Prefix, "safe", "s", true});
+    Store_.put("op/config",
+               json{{"Version", Version},
+                    {"Routes",
+                     {{"Columns", {"Name", "Host", "Prefix", "Kind", "Service", "Public"}},
+                      {"Rows", Rows}}}}
+                   .dump());
+  }
+
+  /// Runs the event loop until a condition holds; returns false if it does not in time.
+  template <typename Condition>
+  bool runUntil(Condition Holds, milliseconds Limit = std::chrono::seconds(5)) {
+    const auto End = std::chrono::steady_clock::now() + Limit;
+    while (!Holds() && std::chrono::steady_clock::now() < End)
+      Io_.run_one_for(milliseconds(20));
+    return Holds();
+  }
+  /// Sends a request to a node and returns the status; 0 if there is no answer.
+  unsigned statusOf(const std::string &Host, const std::string &Path) {
+    return send({Host, CallerPort_}, Path);
+  }
+  /// Returns the state that a node shows to operators.
+  json stateOf(const std::string &Host) {
+    std::string Body;
+    send({Host, OperatorPort_}, "/state", &Body);
+    return json::parse(Body, nullptr, false);
+  }
+  std::uint64_t versionOf(const std::string &Host) {
+    const json State = stateOf(Host);
+    return State.is_discarded() ? 0 : State.at("fleet_state").at("version").get<std::uint64_t>();
+  }
+
+private:
+  unsigned send(const node::Endpoint &To, const std::string &Path, std::string *Body = nullptr) {
+    node::HttpClient Client(Io_, To, 1);
+    node::HttpRequest Request;
+    Request.Method_ = "GET";
+    Request.Target_ = Path;
+    Request.Headers_ = {{"Host", "a.example"}, {"Request-Id", "q1"}, {"Deadline-Ms", "1000"}};
+    bool Ended = false;
+    unsigned Status = 0;
+    Client.send(std::move(Request), std::chrono::seconds(3),
+                [&](node::HttpResult Result, const node::HttpResponse &Response) {
+                  Ended = true;
+                  Status = Result == node::HttpResult::Answered ? Response.Status_ : 0;
+                  if (Body != nullptr)
+                    *Body = Response.Body_;
+                });
+    runUntil([&] { return Ended; });
+    return Status;
+  }
+};
+
+} // namespace bronzestand
+
+#endif
--- a/tests/unit/store_watch_test.cpp
+++ b/tests/unit/store_watch_test.cpp
@@ -14,6 +14,11 @@
 using nlohmann::json;
 using std::chrono::milliseconds;
 
+/// Time within which an acknowledged change must be in force.
+constexpr milliseconds ApplyTime{2000};
+/// Time after an outage of the store at which every node must be up to date again.
+constexpr milliseconds ContactTime{3000};
+
 /// A watch on a local stand-in for the platform's store.
 struct StoreFixture {
   boost::asio::io_context Io_;
@@ -51,13 +56,22 @@
                                  {"Routes", {{"Columns", json::array()}, {"Rows", json::array()}}}}
                                 .dump());
   }
-  /// Runs the event loop until a condition holds; returns false if it does not within 5 s.
-  template <typename Condition> bool runUntil(Condition Holds) {
-    const auto End = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+  /// Runs the event loop until a condition holds; returns false if it does not in time.
+  template <typename Condition>
+  bool runUntil(Condition Holds, milliseconds Limit = std::chrono::seconds(5)) {
+    const auto End = std::chrono::steady_clock::now() + Limit;
     while (!Holds() && std::chrono::steady_clock::now() < End)
       Io_.run_one_for(milliseconds(20));
     return Holds();
   }
+  bool isInForce(std::uint64_t Version, milliseconds Limit) {
+    return runUntil(
+        [&] {
+          Fleet_->tick(node::now());
+          return Fleet_->version() >= Version;
+        },
+        Limit);
+  }
   void startWatch() {
     putConfig(3);
     putServer("i-1", "ready");
@@ -134,3 +148,54 @@
     return Fleet_->servers().find("i-2") != nullptr;
   }));
 }
+
+// Guards against a node that waits for the answer to a watch that was lost while its connection
+// lives.
+TEST_CASE_METHOD(StoreFixture, "store_watch_lost_answer_is_noticed_without_peers") {
+  startWatch();
+  Store_.silenceWatches();
+  putConfig(5);
+  CHECK(isInForce(5, ApplyTime));
+}
+
+// Guards against a node that waits for the answer to a request that it sent during an outage, after
+// an earlier one had failed.
+TEST_CASE_METHOD(StoreFixture, "store_watch_retry_sent_during_outage_recovers_after_it") {
+  startWatch();
+  Store_.setSilent(true);
+  Store_.failWatches(503);
+  const int Before = Store_.watches();
+  REQUIRE(runUntil([&] { return Store_.watches() > Before; }));
+  Store_.setSilent(false);
+  putConfig(5);
+  CHECK(isInForce(5, ContactTime));
+}
+
+// Guards against a node that knows from its peers that it is behind and does not read again,
+// because an earlier request had failed.
+TEST_CASE_METHOD(StoreFixture, "store_watch_behind_peers_after_failure_reads_again") {
+  startWatch();
+  Store_.setSilent(true);
+  Store_.failWatches(503);
+  const int Before = Store_.watches();
+  REQUIRE(runUntil([&] { return Store_.watches() > Before; }));
+  Store_.setSilent(false);
+  putConfig(5);
+  Fleet_->noteRevision(Store_.revision());
+  CHECK(isInForce(5, ContactTime));
+}
+
+// Guards against watches that pile up at the store while a node is behind its peers.
+TEST_CASE_METHOD(StoreFixture, "store_watch_behind_peers_keeps_one_watch") {
+  startWatch();
+  Store_.silenceWatches();
+  Fleet_->noteRevision(Store_.revision() + 100);
+  const auto End = std::chrono::steady_clock::now() + ContactTime;
+  runUntil(
+      [&] {
+        Fleet_->tick(node::now());
+        return std::chrono::steady_clock::now() > End;
+      },
+      2 * ContactTime);
+  CHECK(Store_.waitingWatches() <= 1);
+}
