Notice a watch of the store that is never answered

Callers got 404 for routes that had been added, and 401 for keys, for up to 21.5 s: their node had missed changes and did not notice.

Cause: a node trusted a pending watch for 20 s and asked again only when the connection failed or a peer knew more. A request that the store takes during an outage is never answered, while its connection lives. Each restart also counted its own cancelled watch as a failure: it blocked further restarts and left a second watch at the store.

The class of fault: silence is taken for "nothing has changed".

The stand-in drops watches whose connection was closed, as a store does.

--- a/src/mesh/fleet_state.cpp
+++ b/src/mesh/fleet_state.cpp
@@ -49,6 +49,16 @@
   PeerRevision_ = Other;
 }
 
+void FleetState::noteConfirmed(TimePoint Now, Duration Validity) {
+  ConfirmedAt_ = Now;
+  ConfirmedUntil_ = Now + Validity;
+  SourceLost_ = false;
+}
+
+bool FleetState::isBehind(TimePoint Now) const {
+  return SourceLost_ || Now > ConfirmedUntil_ || PeerRevision_ > Known_;
+}
+
 const FleetTeam *FleetState::findTeam(const TeamId &Name) const {
   const auto Found = std::find_if(Config_.Teams_.begin(), Config_.Teams_.end(),
                                   [&](const FleetTeam &Team) { return Team.Spec_.Name_ == Name; });
@@ -112,13 +122,10 @@
                        {"data_centre", Server.DataCentre_.str()},
                        {"slots", Server.Slots_},
                        {"leaving", Server.Leaving_}});
-  return {{"version", Config_.Version_},
-          {"revision", Known_},
-          {"peer_revision", PeerRevision_},
-          {"confirmed_age_us", confirmationAge(now()).count()},
-          {"routes", Config_.Routes_.size()},
-          {"teams", Config_.Teams_.size()},
-          {"listed", Listed_},
+  return {{"version", Config_.Version_},    {"revision", Known_},
+          {"peer_revision", PeerRevision_}, {"confirmed_age_us", confirmationAge(now()).count()},
+          {"behind", isBehind(now())},      {"routes", Config_.Routes_.size()},
+          {"teams", Config_.Teams_.size()}, {"listed", Listed_},
           {"servers", std::move(Servers)}};
 }
 
--- a/src/mesh/fleet_state.h
+++ b/src/mesh/fleet_state.h
@@ -38,7 +38,13 @@
   /// connection to the platform is assumed to be dead and is replaced.
   void noteRevision(Revision Other);
   /// Records that the platform answered, so that this node has all changes up to now.
-  void noteConfirmed(TimePoint Now) { ConfirmedAt_ = Now; }
+  /// \param Validity time within which the next answer is expected.
+  void noteConfirmed(TimePoint Now, Duration Validity);
+  /// Records that a request to the platform failed.
+  void noteSourceLost() { SourceLost_ = true; }
+  /// Returns whether changes may exist that this node does not have: the platform does not answer
+  /// it, or another node knows a later change.
+  bool isBehind(TimePoint Now) const;
   /// Returns the time since the platform last answered; since the start if it never did.
   Duration confirmationAge(TimePoint Now) const { return Now - ConfirmedAt_; }
   /// Highest revision that other nodes have told this one.
@@ -85,6 +91,8 @@
   Revision PeerRevision_ = 0; ///< highest revision that other nodes know
   TimePoint BehindSince_{};
   TimePoint ConfirmedAt_;
+  TimePoint ConfirmedUntil_{}; ///< the platform should have answered again by then
+  bool SourceLost_ = false;
   std::vector<Callback> OnConfig_;
   std::vector<Callback> OnServers_;
   Callback Refresh_;
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -104,6 +104,8 @@
   Mesh.RetryAllowance_ = Reader.number("retry_allowance", 0.0, 1e6, false, 20.0);
   Mesh.GracePeriod_ = std::chrono::milliseconds(
       static_cast<std::int64_t>(1000.0 * Reader.number("grace_seconds", 1.0, 3600.0, false, 6.0)));
+  Mesh.ApplyTime_ =
+      std::chrono::milliseconds(Reader.integer("apply_ms", 100, 3'600'000, false, 2000));
   if (Reader.has("metrics_listen"))
     Mesh.MetricsListen_ = readEndpoint(Reader, "metrics_listen", Reader.text("metrics_listen"));
   Reader.finish();
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -47,6 +47,7 @@
   double RetryRatio_ = 0.1;      ///< retries per request that the fleet may send to a service
   double RetryAllowance_ = 10.0; ///< further retries of the whole fleet in a window
   Duration GracePeriod_ = std::chrono::seconds(6); ///< from SIGTERM to the end of the process
+  Duration ApplyTime_ = std::chrono::seconds(2);   ///< in which a change must be in force
   std::optional<Endpoint>
       MetricsListen_; ///< serves only the metrics, in addition to operator_listen
 };
--- a/tests/standins/platform_store.h
+++ b/tests/standins/platform_store.h
@@ -166,6 +166,8 @@
       return;
     }
     Waiting_.push_back(Item);
+    Exchange->onCancelled(
+        [this, Weak = std::weak_ptr<Watch>(Item)] { Waiting_.remove(Weak.lock()); });
     Item->Timer_.expires_after(std::chrono::milliseconds(std::stol(Query.at("WaitMs"))));
     Item->Timer_.async_wait(
         [this, Weak = std::weak_ptr<Watch>(Item)](const boost::system::error_code &Failed) {
