Ask callers to come back while a node may lack changes

A node that the store does not answer, or whose peers know a later change, refused unknown routes and keys with 404 and 401, which callers do not repeat, as if its configuration were the newest.

Change: FleetState::isBehind() tells whether changes may exist that the node does not have; until it has caught up, such requests get 503 stale_configuration with Retry-After.

--- a/include/bronzestand/refusal.h
+++ b/include/bronzestand/refusal.h
@@ -42,6 +42,8 @@
   OutcomeUnknown,
   BackendRejected, ///< the backend server said that it did not run the request
   WrongBackend,    ///< another backend server has the address
+  /// The node may lack a change that allows the request.
+  StaleConfiguration,
 };
 
 /// How a refusal is reported to a caller.
--- a/src/engine/refusal.cpp
+++ b/src/engine/refusal.cpp
@@ -8,7 +8,7 @@
 constexpr std::array<std::string_view, 3> OutcomeNames{"served", "not-run", "unknown"};
 
 // In the order of the enumerators.
-constexpr std::array<RefusalInfo, 25> RefusalTable{{
+constexpr std::array<RefusalInfo, 26> RefusalTable{{
     {"bad_request", 400, Outcome::NotRun, false},
     {"key_missing", 401, Outcome::NotRun, false},
     {"key_unknown", 401, Outcome::NotRun, false},
@@ -34,8 +34,9 @@
     {"outcome_unknown", 409, Outcome::Unknown, false},
     {"backend_rejected", 503, Outcome::NotRun, true},
     {"wrong_backend_server", 503, Outcome::NotRun, true},
+    {"stale_configuration", 503, Outcome::NotRun, true},
 }};
-static_assert(static_cast<std::size_t>(Refusal::WrongBackend) + 1 == RefusalTable.size());
+static_assert(static_cast<std::size_t>(Refusal::StaleConfiguration) + 1 == RefusalTable.size());
 
 } // namespace
 
--- a/src/mesh/entry.cpp
+++ b/src/mesh/entry.cpp
@@ -16,6 +16,8 @@
 constexpr Duration DefaultTimeout = std::chrono::seconds(30);
 /// A node without a configuration usually receives one within this time.
 constexpr Duration NotReadyRetryAfter = std::chrono::milliseconds(500);
+/// A node that may lack changes usually receives them within this time.
+constexpr Duration StaleRetryAfter = std::chrono::milliseconds(500);
 /// A stopping node has restarted, or its callers have been moved, after about this time.
 constexpr Duration ShuttingDownRetryAfter = std::chrono::seconds(1);
 /// Assumed size of a request and its answer until one has been measured, and the weight of one
@@ -112,13 +114,13 @@
   std::string HostName;
   Route = Env_.Fleet_.routes().find(hostNameOf(Request, HostName), pathOf(Request.Target_));
   if (Route == nullptr)
-    return RefusalDetails{Refusal::RouteUnknown, std::nullopt};
+    return refusalByConfig(Refusal::RouteUnknown);
   std::uint32_t Rank = std::min(Route->Rank_, MaxRank);
   std::uint32_t TeamRank = leastUrgentTeamRank();
   if (!Route->Open_ && !Env_.Fleet_.config().Teams_.empty()) {
     const auto Owner = Env_.Fleet_.keys().authenticate(Key);
     if (!Owner)
-      return RefusalDetails{Key.empty() ? Refusal::KeyMissing : Refusal::KeyUnknown, std::nullopt};
+      return refusalByConfig(Key.empty() ? Refusal::KeyMissing : Refusal::KeyUnknown);
     Outgoing.Team_ = Owner->Team_;
     const FleetTeam *Team = Env_.Fleet_.findTeam(Owner->Team_);
     TeamRank = Team == nullptr ? 0U : Team->Rank_.value_or(0);
@@ -128,6 +130,12 @@
   return std::nullopt;
 }
 
+Entry::RefusalDetails Entry::refusalByConfig(Refusal Reason) const {
+  if (Env_.Fleet_.isBehind(now()))
+    return {Refusal::StaleConfiguration, StaleRetryAfter};
+  return {Reason, std::nullopt};
+}
+
 void Entry::prepareHeaders(HttpRequest &Request, const Call &Outgoing) const {
   const HeaderNames &Names = Env_.Names_;
   boost::range::remove_erase_if(Request.Headers_, [&](const Header &Field) {
--- a/src/mesh/entry.h
+++ b/src/mesh/entry.h
@@ -71,6 +71,9 @@
   /// \return the reason for a refusal, if any.
   std::optional<RefusalDetails> identify(HttpRequest &Request, Call &Outgoing,
                                          const FleetRoute *&Route);
+  /// Returns a refusal that says that the configuration does not allow a request; while this node
+  /// may lack changes, one that asks the caller to come back.
+  RefusalDetails refusalByConfig(Refusal Reason) const;
   /// Returns the value of the deadline header; none if it is missing or invalid.
   std::optional<Duration> requestedTimeout(const HttpRequest &Request) const;
   /// Starts a request that is within the rate limit of its team or has no team.
--- a/src/node/codec_call.cpp
+++ b/src/node/codec_call.cpp
@@ -94,7 +94,7 @@
 void from_json(const json &In, Answer &Out) {
   In.at(0).get_to(Out.Id_);
   Out.Outcome_ = checkedEnum(In.at(1), Outcome::Unknown);
-  Out.Refusal_ = checkedEnum(In.at(2), Refusal::WrongBackend);
+  Out.Refusal_ = checkedEnum(In.at(2), Refusal::StaleConfiguration);
   In.at(3).get_to(Out.HttpStatus_);
   In.at(4).get_to(Out.Headers_);
   Out.Body_ = fromBinary(In.at(5));
