Get changes from other nodes while the store turns a node away

A node that the store refuses, or whose requests get no answer, kept its old configuration and list of servers as long as that lasted. It wrote behind_peers lines and had nobody to ask.

Change: StateExchange. While the store does not answer a node, or a peer knows more, the node asks a random host of the list every 400 ms and takes over the configuration and the servers if they are newer. An answer also says whether the store answers that host, which then vouches for the node, so that its definite refusals stay. Nothing is sent in a healthy fleet.

Tests: with the query taken out, mesh_node_refused_by_store_learns_changes_from_peer and mesh_node_refused_by_store_with_confirmed_peer_returns_404 fail.

--- /dev/null
+++ b/src/mesh/codec_fleet_state.h
@@ -0,0 +1,38 @@
+#ifndef BRONZESTAND_MESH_CODEC_FLEET_STATE_H
+#define BRONZESTAND_MESH_CODEC_FLEET_STATE_H
+
+#include <optional>
+#include <variant>
+
+#include <nlohmann/json.hpp>
+
+#include "bronzestand/backend_directory.h"
+#include "bronzestand/fleet_config.h"
+
+namespace bronzestand::node {
+
+/// Asks another node for what it knows beyond the sender.
+struct FleetStateQuery {
+  Revision Revision_ = 0;
+  std::uint64_t Version_ = 0; ///< of the configuration in force
+};
+
+/// Answers a query.
+struct FleetStateReply {
+  Revision Revision_ = 0;
+  bool Confirmed_ = false;            ///< the platform answers the sender, which has all changes
+  std::optional<FleetConfig> Config_; ///< set if its version is higher
+  std::optional<std::vector<BackendServer>> Servers_; ///< set if the revision is higher
+};
+
+using FleetStateBody = std::variant<FleetStateQuery, FleetStateReply>;
+
+/// CBOR form of the messages. Fields are positional, to keep messages small. API keys are sent as
+/// hashes only.
+nlohmann::json encodeFleetState(const FleetStateBody &In);
+/// \throws nlohmann::json::exception if the message is malformed.
+FleetStateBody decodeFleetState(const nlohmann::json &In);
+
+} // namespace bronzestand::node
+
+#endif
--- a/src/mesh/fleet_state.cpp
+++ b/src/mesh/fleet_state.cpp
@@ -55,10 +55,14 @@
   SourceLost_ = false;
 }
 
-bool FleetState::isBehind(TimePoint Now) const {
+bool FleetState::needsPeers(TimePoint Now) const {
   return SourceLost_ || Now > ConfirmedUntil_ || PeerRevision_ > Known_;
 }
 
+bool FleetState::isBehind(TimePoint Now) const {
+  return PeerRevision_ > Known_ || (needsPeers(Now) && Now > VouchedUntil_);
+}
+
 const FleetTeam *FleetState::findTeam(const TeamId &Name) const {
   const auto Found = std::find_if(Config_.Teams_.begin(), Config_.Teams_.end(),
                                   [&](const FleetTeam &Team) { return Team.Spec_.Name_ == Name; });
@@ -97,6 +101,15 @@
     serversChanged();
 }
 
+// Entries that the other node does not have were removed, because it keeps those that are only
+// missing.
+void FleetState::adopt(std::vector<BackendServer> Entries, Revision Value) {
+  if (Value <= Known_)
+    return;
+  replace(std::move(Entries), true);
+  setRevision(Value);
+}
+
 void FleetState::tick(TimePoint Now) {
   if (PeerRevision_ > Known_ && Now - BehindSince_ >= MaxPropagationDelay && Refresh_) {
     Events_.write(Now, EventClass::Belief, "fleet_state", "behind_peers",
--- a/src/mesh/fleet_state.h
+++ b/src/mesh/fleet_state.h
@@ -31,6 +31,9 @@
   /// \param Trusted as in BackendDirectory::remove().
   void remove(const std::string &Id, bool Trusted);
   void replace(std::vector<BackendServer> Entries, bool Trusted);
+  /// Takes over the server list of a node that has applied all changes up to a revision, if this
+  /// node has not.
+  void adopt(std::vector<BackendServer> Entries, Revision Value);
   /// Records the revision of a change that this node has applied; lower ones are ignored.
   void setRevision(Revision Value) { Known_ = std::max(Known_, Value); }
   Revision revision() const { return Known_; }
@@ -42,8 +45,12 @@
   void noteConfirmed(TimePoint Now, Duration Validity);
   /// Records that a request to the platform failed.
   void noteSourceLost() { SourceLost_ = true; }
-  /// Returns whether changes may exist that this node does not have: the platform does not answer
-  /// it, or another node knows a later change.
+  /// Records that a node that has all changes knows no more than this one.
+  void noteVouched(TimePoint Until) { VouchedUntil_ = Until; }
+  /// Returns whether the platform does not answer this node, or another node knows a later change.
+  bool needsPeers(TimePoint Now) const;
+  /// Returns whether changes may exist that this node does not have: it needs its peers, and none
+  /// of them has vouched for it.
   bool isBehind(TimePoint Now) const;
   /// Returns the time since the platform last answered; since the start if it never did.
   Duration confirmationAge(TimePoint Now) const { return Now - ConfirmedAt_; }
@@ -92,6 +99,7 @@
   TimePoint BehindSince_{};
   TimePoint ConfirmedAt_;
   TimePoint ConfirmedUntil_{}; ///< the platform should have answered again by then
+  TimePoint VouchedUntil_{};
   bool SourceLost_ = false;
   std::vector<Callback> OnConfig_;
   std::vector<Callback> OnServers_;
--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -4,6 +4,7 @@
 #include "mesh/entry.h"
 #include "mesh/link_watch.h"
 #include "mesh/mesh_metrics.h"
+#include "mesh/state_exchange.h"
 #include "mesh/team_share_part.h"
 #include "node/clock.h"
 #include "node/http_server.h"
@@ -60,6 +61,7 @@
         Timer_(Io), Events_(Config_.Host_.str()), Links_(Io, Config_, Run_),
         Fleet_(Config_, Events_), Source_(Source(Io, Config_, Fleet_, Events_)),
         Gate_(Io, Config_, Names_, Fleet_, Events_), RemoteCalls_(Gate_, Links_, Run_),
+        Exchange_(Config_, Fleet_, Links_, Events_, Run_),
         Shares_(Io, Config_, Fleet_, Links_, Events_),
         Entry_({Io, Config_, Names_, Fleet_, Links_, Gate_, Shares_, Metrics_, Events_}, Run_),
         Watch_(Links_, Entry_, Events_),
@@ -124,8 +126,8 @@
 
 private:
   std::vector<Part *> children() {
-    return {&Links_, &Fleet_,       Source_.get(), &Metrics_, &Shares_,
-            &Gate_,  &RemoteCalls_, &Entry_,       &Watch_};
+    return {&Links_,  &Fleet_, Source_.get(), &Exchange_, &Metrics_,
+            &Shares_, &Gate_,  &RemoteCalls_, &Entry_,    &Watch_};
   }
 
   void scheduleTick() {
@@ -221,6 +223,7 @@
   MeshMetrics Metrics_;
   BackendGate Gate_;
   RemoteCalls RemoteCalls_;
+  StateExchange Exchange_;
   TeamSharePart Shares_;
   Entry Entry_;
   LinkWatch Watch_;
--- a/tests/unit/mesh_fixture.h
+++ b/tests/unit/mesh_fixture.h
@@ -62,24 +62,25 @@
     REQUIRE(Nodes_.back()->start().ok());
   }
 
-  void putServer(const std::string &Id, const std::string &Host) {
-    Store_.put("servers/" + Id, json{{"Address", Host + ":" + std::to_string(BackendPort_)},
-                                     {"Info", {{"Service", "s"}, {"Zone", "z"}, {"Slots", 4}}},
-                                     {"Status", {{"State", "ready"}, {"ColdRemainingMs", 0}}},
-                                     {"born", 5}}
-                                    .dump());
+  void putServer(standin::PlatformStore &Store, const std::string &Id, const std::string &Host) {
+    Store.put("servers/" + Id, json{{"Address", Host + ":" + std::to_string(BackendPort_)},
+                                    {"Info", {{"Service", "s"}, {"Zone", "z"}, {"Slots", 4}}},
+                                    {"Status", {{"State", "ready"}, {"ColdRemainingMs", 0}}},
+                                    {"born", 5}}
+                                   .dump());
   }
   /// Stores a configuration with routes of the host name "a.example" that need no key.
-  void putConfig(std::uint64_t Version, const std::vector<std::string> &Prefixes) {
+  static void putConfig(standin::PlatformStore &Store, std::uint64_t Version,
+                        const std::vector<std::string> &Prefixes) {
     json Rows = json::array();
     for (const std::string &Prefix : Prefixes)
       Rows.push_back({"r" + Prefix, "a.example", Prefix, "safe", "s", true});
-    Store_.put("op/config",
-               json{{"Version", Version},
-                    {"Routes",
-                     {{"Columns", {"Name", "Host", "Prefix", "Kind", "Service", "Public"}},
-                      {"Rows", Rows}}}}
-                   .dump());
+    Store.put("op/config",
+              json{{"Version", Version},
+                   {"Routes",
+                    {{"Columns", {"Name", "Host", "Prefix", "Kind", "Service", "Public"}},
+                     {"Rows", Rows}}}}
+                  .dump());
   }
 
   /// Runs the event loop until a condition holds; returns false if it does not in time.
--- a/tests/unit/mesh_node_test.cpp
+++ b/tests/unit/mesh_node_test.cpp
@@ -5,12 +5,36 @@
 namespace {
 
 const std::string First = "127.0.0.2";
+const std::string Second = "127.0.0.3";
+/// Time within which an acknowledged change must be in force.
+constexpr std::chrono::milliseconds ApplyTime{2000};
+
+/// Two nodes, the second of which reads from a replica of the store that can refuse it.
+struct TwoNodesFixture : MeshFixture {
+  const std::uint16_t ReplicaPort_ = freePort();
+  standin::PlatformStore Replica_{Io_, {"127.0.0.1", ReplicaPort_}};
+
+  TwoNodesFixture() {
+    REQUIRE(Replica_.start().ok());
+    for (standin::PlatformStore *Item : {&Store_, &Replica_}) {
+      putServer(*Item, "i-1", First);
+      putServer(*Item, "i-2", Second);
+      putConfig(*Item, 3, {"/x/"});
+    }
+    startNode(First);
+    startNode(Second, ReplicaPort_);
+    REQUIRE(runUntil([&] { return statusOf(Second, "/y/") == 404; }));
+  }
+  ~TwoNodesFixture() { Replica_.stop(); }
+  TwoNodesFixture(const TwoNodesFixture &) = delete;
+  TwoNodesFixture &operator=(const TwoNodesFixture &) = delete;
+};
 
 } // namespace
 
 // Guards against an unknown route that is answered as anything but 404 while the store answers.
 TEST_CASE_METHOD(MeshFixture, "mesh_node_unknown_route_in_calm_fleet_returns_404") {
-  putConfig(3, {"/x/"});
+  putConfig(Store_, 3, {"/x/"});
   startNode(First);
   REQUIRE(runUntil([&] { return statusOf(First, "/y/") == 404; }));
   CHECK(statusOf(First, "/x/") == 503);
@@ -19,7 +43,7 @@
 // Guards against a definite refusal (404, 401) by a node that may not have the newest
 // configuration.
 TEST_CASE_METHOD(MeshFixture, "mesh_node_unknown_route_while_store_is_lost_returns_503") {
-  putConfig(3, {"/x/"});
+  putConfig(Store_, 3, {"/x/"});
   startNode(First);
   REQUIRE(runUntil([&] { return statusOf(First, "/y/") == 404; }));
   Store_.setFailure(503);
@@ -28,3 +52,22 @@
   Store_.setFailure(0);
   CHECK(runUntil([&] { return statusOf(First, "/y/") == 404; }, std::chrono::seconds(3)));
 }
+
+// Guards against a node that does not learn of changes while the store turns it away.
+TEST_CASE_METHOD(TwoNodesFixture, "mesh_node_refused_by_store_learns_changes_from_peer") {
+  Replica_.setFailure(503);
+  Replica_.failWatches(503);
+  putConfig(Store_, 5, {"/x/", "/new/"});
+  CHECK(runUntil([&] { return versionOf(Second) == 5; }, ApplyTime));
+  Store_.remove("servers/i-1");
+  CHECK(runUntil([&] { return stateOf(Second).at("fleet_state").at("servers").size() == 1; },
+                 ApplyTime));
+}
+
+// Guards against definite refusals that are withheld although a peer knows that nothing is missing.
+TEST_CASE_METHOD(TwoNodesFixture, "mesh_node_refused_by_store_with_confirmed_peer_returns_404") {
+  Replica_.setFailure(503);
+  Replica_.failWatches(503);
+  REQUIRE(runUntil([&] { return statusOf(Second, "/y/") == 503; }, ApplyTime));
+  CHECK(runUntil([&] { return statusOf(Second, "/y/") == 404; }, ApplyTime));
+}
