--- a/src/mesh/fleet_state.cpp
+++ b/src/mesh/fleet_state.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <fmt/format.h>
+
 #include "node/clock.h"
 
 namespace bronzestand::node {
@@ -13,16 +15,18 @@
 } // namespace
 
 FleetState::FleetState(const Settings &Config, EventLog &Events)
-    : Host_(Config.Host_), Events_(Events) {}
+    : Host_(Config.Host_), Events_(Events), ConfirmedAt_(now()) {}
 
 void FleetState::apply(FleetConfig Config) {
   if (Config.Version_ <= Config_.Version_)
     return;
-  Events_.write(now(), EventClass::Belief, "fleet_state", "config_in_force",
+  const TimePoint Now = now();
+  Events_.write(Now, EventClass::Belief, "fleet_state", "config_in_force",
                 {{"version", Config.Version_},
                  {"previous", Config_.Version_},
                  {"routes", Config.Routes_.size()},
-                 {"teams", Config.Teams_.size()}});
+                 {"teams", Config.Teams_.size()},
+                 {"confirmed_age_us", confirmationAge(Now).count()}});
   std::set<TeamId> Names;
   for (const FleetTeam &Team : Config.Teams_) {
     Names.insert(Team.Spec_.Name_);
@@ -45,6 +49,20 @@
   PeerRevision_ = Other;
 }
 
+void FleetState::noteConfirmed(TimePoint Now, Duration Validity) {
+  ConfirmedAt_ = Now;
+  ConfirmedUntil_ = Now + Validity;
+  SourceLost_ = false;
+}
+
+bool FleetState::needsPeers(TimePoint Now) const {
+  return SourceLost_ || Now > ConfirmedUntil_ || PeerRevision_ > Known_;
+}
+
+bool FleetState::isBehind(TimePoint Now) const {
+  return PeerRevision_ > Known_ || (needsPeers(Now) && Now > VouchedUntil_);
+}
+
 const FleetTeam *FleetState::findTeam(const TeamId &Name) const {
   const auto Found = std::find_if(Config_.Teams_.begin(), Config_.Teams_.end(),
                                   [&](const FleetTeam &Team) { return Team.Spec_.Name_ == Name; });
@@ -83,6 +101,15 @@
     serversChanged();
 }
 
+// Entries that the other node does not have were removed, because it keeps those that are only
+// missing.
+void FleetState::adopt(std::vector<BackendServer> Entries, Revision Value) {
+  if (Value <= Known_)
+    return;
+  replace(std::move(Entries), true);
+  setRevision(Value);
+}
+
 void FleetState::tick(TimePoint Now) {
   if (PeerRevision_ > Known_ && Now - BehindSince_ >= MaxPropagationDelay && Refresh_) {
     Events_.write(Now, EventClass::Belief, "fleet_state", "behind_peers",
@@ -109,9 +136,19 @@
                        {"slots", Server.Slots_},
                        {"leaving", Server.Leaving_}});
   return {{"version", Config_.Version_},    {"revision", Known_},
-          {"peer_revision", PeerRevision_}, {"routes", Config_.Routes_.size()},
+          {"peer_revision", PeerRevision_}, {"confirmed_age_us", confirmationAge(now()).count()},
+          {"behind", isBehind(now())},      {"routes", Config_.Routes_.size()},
           {"teams", Config_.Teams_.size()}, {"listed", Listed_},
           {"servers", std::move(Servers)}};
 }
 
+void FleetState::print(TimePoint Now, std::string &Out) const {
+  Out += fmt::format(
+      "# HELP bronzestand_config_version Version of the configuration in force\n"
+      "# TYPE bronzestand_config_version gauge\nbronzestand_config_version {}\n"
+      "# HELP bronzestand_confirmed_age_seconds Time since the platform last answered\n"
+      "# TYPE bronzestand_confirmed_age_seconds gauge\nbronzestand_confirmed_age_seconds {:.3f}\n",
+      Config_.Version_, std::chrono::duration<double>(confirmationAge(Now)).count());
+}
+
 } // namespace bronzestand::node
--- a/src/mesh/fleet_state.h
+++ b/src/mesh/fleet_state.h
@@ -31,12 +31,33 @@
   /// \param Trusted as in BackendDirectory::remove().
   void remove(const std::string &Id, bool Trusted);
   void replace(std::vector<BackendServer> Entries, bool Trusted);
+  /// Takes over the server list of a node that has applied all changes up to a revision, if this
+  /// node has not.
+  void adopt(std::vector<BackendServer> Entries, Revision Value);
   /// Records the revision of a change that this node has applied; lower ones are ignored.
   void setRevision(Revision Value) { Known_ = std::max(Known_, Value); }
   Revision revision() const { return Known_; }
   /// Records that another node knows this revision. If this node does not receive it soon, its
   /// connection to the platform is assumed to be dead and is replaced.
   void noteRevision(Revision Other);
+  /// Records that the platform answered, so that this node has all changes up to now.
+  /// \param Validity time within which the next answer is expected.
+  void noteConfirmed(TimePoint Now, Duration Validity);
+  /// Records that a request to the platform failed.
+  void noteSourceLost() { SourceLost_ = true; }
+  /// Records that a node that has all changes knows no more than this one.
+  void noteVouched(TimePoint Until) { VouchedUntil_ = Until; }
+  /// Returns whether the platform does not answer this node, or another node knows a later change.
+  bool needsPeers(TimePoint Now) const;
+  /// Returns whether changes may exist that this node does not have: it needs its peers, and none
+  /// of them has vouched for it.
+  bool isBehind(TimePoint Now) const;
+  /// Returns the time since the platform last answered; since the start if it never did.
+  Duration confirmationAge(TimePoint Now) const { return Now - ConfirmedAt_; }
+  /// Highest revision that other nodes have told this one.
+  Revision peerRevision() const { return PeerRevision_; }
+  /// Appends metrics as Prometheus text.
+  void print(TimePoint Now, std::string &Out) const;
 
   /// Returns whether requests can be served: a configuration and a server list have been received.
   bool isReady() const { return Config_.Version_ != 0 && Listed_; }
@@ -76,6 +97,10 @@
   Revision Known_ = 0;
   Revision PeerRevision_ = 0; ///< highest revision that other nodes know
   TimePoint BehindSince_{};
+  TimePoint ConfirmedAt_;
+  TimePoint ConfirmedUntil_{}; ///< the platform should have answered again by then
+  TimePoint VouchedUntil_{};
+  bool SourceLost_ = false;
   std::vector<Callback> OnConfig_;
   std::vector<Callback> OnServers_;
   Callback Refresh_;
