Add failing tests of a store that is restored from a copy

The stand-in names its era in each answer, goes back to a copy, gives out revisions again and answers 410 beyond its newest revision.

--- a/tests/standins/platform_store.h
+++ b/tests/standins/platform_store.h
@@ -18,7 +18,8 @@
 
 namespace bronzestand::standin {
 
-/// Stand-in of the platform's metadata store: pages, watches, lost history, refusals and silence.
+/// Stand-in of the platform's metadata store: pages, watches, lost history, refusals, silence, and
+/// restores from a copy.
 class PlatformStore {
 public:
   using json = nlohmann::json;
@@ -49,6 +50,27 @@
     return Revision_;
   }
 
+  /// What a restore brings back.
+  struct Copy {
+    std::map<std::string, std::pair<std::string, Revision>> Items_;
+    std::vector<json> Events_;
+    Revision Revision_ = 0;
+  };
+  Copy copy() const { return {Items_, Events_, Revision_}; }
+  /// Continues from a copy in a new era: what was written since is lost and its revisions are given
+  /// out again. Watches that wait are cut.
+  void restore(const Copy &Old) {
+    Items_ = Old.Items_;
+    Events_ = Old.Events_;
+    Revision_ = Old.Revision_;
+    Forgotten_ = std::min(Forgotten_, Revision_);
+    ++Era_;
+    failWatches(503);
+  }
+  /// Answers with an earlier era from now on, as a late answer does.
+  void setEra(std::uint64_t Era) { Era_ = Era; }
+  std::uint64_t era() const { return Era_; }
+
   /// Status of all answers from now on; 0 to serve.
   void setFailure(unsigned Status) { Failure_ = Status; }
   /// Takes calls and answers none of them.
@@ -115,14 +137,15 @@
   }
 
   void answer(const node::HttpExchangePtr &Exchange, unsigned Status, const json &Body) {
+    const std::vector<Header> Headers{{"Store-Era", std::to_string(Era_)}};
     if (Delay_ == std::chrono::milliseconds::zero()) {
-      Exchange->respond({Status, {}, Body.dump()});
+      Exchange->respond({Status, Headers, Body.dump()});
       return;
     }
     auto Timer = std::make_shared<boost::asio::steady_timer>(Io_, Delay_);
     Timer->async_wait(
-        [Timer, Exchange, Status, Text = Body.dump()](const boost::system::error_code &) {
-          Exchange->respond({Status, {}, Text});
+        [Timer, Exchange, Status, Headers, Text = Body.dump()](const boost::system::error_code &) {
+          Exchange->respond({Status, Headers, Text});
         });
   }
 
@@ -157,7 +180,7 @@
     const auto Item = std::make_shared<Watch>(Io_);
     Item->After_ = std::stoull(Query.at("after"));
     Item->Exchange_ = Exchange;
-    if (Item->After_ < Forgotten_) {
+    if (Item->After_ < Forgotten_ || Item->After_ > Revision_) {
       answer(Exchange, 410, {});
       return;
     }
@@ -184,6 +207,7 @@
   std::map<std::string, std::pair<std::string, Revision>> Items_;
   std::vector<json> Events_;
   Revision Revision_ = 10;
+  std::uint64_t Era_ = 1;
   Revision Forgotten_ = 0; ///< changes up to this are no longer kept
   std::size_t PageItems_ = 500;
   unsigned Failure_ = 0;
--- a/tests/unit/mesh_node_test.cpp
+++ b/tests/unit/mesh_node_test.cpp
@@ -71,3 +71,17 @@
   REQUIRE(runUntil([&] { return statusOf(Second, "/y/") == 503; }, ApplyTime));
   CHECK(runUntil([&] { return statusOf(Second, "/y/") == 404; }, ApplyTime));
 }
+
+// Guards against a newly started node that uses an older configuration than its peers, because the
+// store was restored from a copy.
+TEST_CASE_METHOD(TwoNodesFixture, "mesh_node_started_after_restore_learns_version_from_peer") {
+  const auto Copy = Store_.copy();
+  putConfig(Store_, 5, {"/x/", "/new/"});
+  REQUIRE(runUntil([&] { return versionOf(First) == 5; }, ApplyTime));
+  Store_.restore(Copy);
+  Replica_.restore(Replica_.copy());
+  const std::string Third = "127.0.0.4";
+  startNode(Third);
+  REQUIRE(runUntil([&] { return versionOf(Third) >= 3; }, ApplyTime));
+  CHECK(runUntil([&] { return versionOf(Third) == 5; }, ApplyTime));
+}
