Compare revisions of the store only inside its era

After the store had been restored from a copy, routes that were confirmed were not served and changes not in force (CONFIG, DENIED), until a later change came.

Cause: the nodes asked for changes after their revision of before the restore. A store that has given out as many revisions again answers with what came after that one, without 410, and the changes before it are never seen. Nothing read the era that the store names. The same comparison stood in what nodes tell each other in calls. The class of fault: a position in one history is used in another.

Ruled out: a refused configuration (no item_refused; the item never arrives) and hints of peers (no behind_peers line).

Change: a position is an era with a revision. Calls and answers carry position and configuration version (nodes of earlier builds read and send the revision alone). For 2.5 s after a restore a missing server is kept and a server that was removed before is not used, unless it writes again; a run that is leaving stays so. What peers told is forgotten after 3 s. A node that starts asks a peer, because the restored copy may be older than what its peers have in force.

--- a/include/bronzestand/backend_directory.h
+++ b/include/bronzestand/backend_directory.h
@@ -28,7 +28,7 @@
 /// reliable is kept until the list has had time to recover. Design section 4.
 class BackendDirectory {
 public:
-  /// Adds or replaces an entry.
+  /// Adds or replaces an entry. A run of a server that is leaving stays so.
   /// \return whether the entry is new or a field changed; false also for an entry of an earlier run
   ///         of the server, which does not replace the current one.
   bool put(BackendServer Entry);
@@ -38,10 +38,15 @@
   /// \return whether the entry was removed.
   bool remove(TimePoint Now, const std::string &Id, bool Trusted);
   /// Replaces the whole list; entries that are missing from the new one are removed as in remove().
+  /// \param NewHistory the platform lost its last changes, so the list may contain servers that
+  /// were
+  ///        removed by one of them. These are held back until the list has had time to recover.
   /// \return whether any entry changed or was removed.
-  bool replace(TimePoint Now, std::vector<BackendServer> Entries, bool Trusted);
-  /// Removes entries that are still missing after the time that the list needs to recover.
-  /// \return whether any was removed.
+  bool replace(TimePoint Now, std::vector<BackendServer> Entries, bool Trusted,
+               bool NewHistory = false);
+  /// Removes entries that are still missing after the time that the list needs to recover, and adds
+  /// those that were held back and are still listed.
+  /// \return whether any was removed or added.
   bool expire(TimePoint Now);
 
   /// Returns the server with an id, or nullptr if it is not listed.
@@ -57,7 +62,24 @@
 
 private:
   std::map<std::string, BackendServer> Entries_;
+  /// A run of a server that was removed.
+  struct Departure {
+    std::uint64_t StartedMs_ = 0;
+    TimePoint At_;
+  };
+  /// A listed entry that is not used until a time.
+  struct HeldEntry {
+    BackendServer Entry_;
+    TimePoint Until_;
+  };
+
+  /// Tells whether the run of an entry was removed.
+  bool hasDeparted(const BackendServer &Entry) const;
+  void erase(TimePoint Now, const std::string &Id);
+
   std::map<std::string, TimePoint> Missing_; ///< kept entries and when they expire
+  std::map<std::string, Departure> Departed_;
+  std::map<std::string, HeldEntry> Held_;
 };
 
 } // namespace bronzestand
--- a/include/bronzestand/call.h
+++ b/include/bronzestand/call.h
@@ -50,7 +50,7 @@
   bool AtMostOnce_ = false;
   bool Idempotent_ = false;
   Duration Objective_{}; ///< time left until the latency objective; later answers are less useful
-  Revision Known_ = 0;   ///< newest revision of the platform that the sender knows
+  Knowledge Known_;      ///< what the sender knows from the platform
 };
 
 /// Load of a backend server as its node reports it with each answer.
@@ -81,7 +81,7 @@
   std::vector<ServiceLevel> Levels_;
   bool Leaving_ = false; ///< the executor's host is leaving
   BackendLoad Load_;
-  Revision Known_ = 0; ///< as in Call
+  Knowledge Known_; ///< as in Call
 
   static Answer refused(CallId Id, Refusal Reason) {
     Answer Result;
--- a/include/bronzestand/types.h
+++ b/include/bronzestand/types.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <tuple>
 #include <utility>
 
 namespace bronzestand {
@@ -57,6 +58,30 @@
 /// Revision of a value on the platform; 0 if it was never read.
 using Revision = std::uint64_t;
 
+/// A position in the history of the platform's store. A store that is restored from a copy starts a
+/// new era, in which it gives out the revisions of the lost part again; so a revision is only
+/// comparable with another one of its era.
+struct StorePosition {
+  std::uint64_t Era_ = 0;
+  Revision Revision_ = 0;
+
+  friend bool operator==(const StorePosition &A, const StorePosition &B) {
+    return A.Era_ == B.Era_ && A.Revision_ == B.Revision_;
+  }
+  friend bool operator<(const StorePosition &A, const StorePosition &B) {
+    return std::tie(A.Era_, A.Revision_) < std::tie(B.Era_, B.Revision_);
+  }
+  friend bool operator>(const StorePosition &A, const StorePosition &B) { return B < A; }
+  friend bool operator<=(const StorePosition &A, const StorePosition &B) { return !(B < A); }
+  friend bool operator>=(const StorePosition &A, const StorePosition &B) { return !(A < B); }
+};
+
+/// What a node knows from the platform, as it tells other nodes.
+struct Knowledge {
+  StorePosition Position_;    ///< the node has applied all changes up to it
+  std::uint64_t Version_ = 0; ///< of the configuration in force
+};
+
 } // namespace bronzestand
 
 template <typename Tag> struct std::hash<bronzestand::StrongString<Tag>> {
--- a/src/engine/backend_directory.cpp
+++ b/src/engine/backend_directory.cpp
@@ -5,6 +5,8 @@
 
 /// Entries that were lost with the platform's list reappear about 2 s after it is available again.
 constexpr Duration RecoveryTime = std::chrono::milliseconds(2500);
+/// Removals are remembered for longer than the age of a copy from which the platform is restored.
+constexpr Duration DepartureRetention = std::chrono::minutes(1);
 
 bool hasEqualFields(const BackendServer &A, const BackendServer &B) {
   return A.Host_ == B.Host_ && A.Port_ == B.Port_ && A.Service_ == B.Service_ &&
@@ -16,15 +18,20 @@
 
 bool BackendDirectory::put(BackendServer Entry) {
   Missing_.erase(Entry.Id_);
+  Held_.erase(Entry.Id_);
+  Departed_.erase(Entry.Id_);
   BackendServer &Current = Entries_[Entry.Id_];
   if (Current.StartedMs_ > Entry.StartedMs_)
     return false; // the new entry is of an earlier run of the server
+  if (Current.StartedMs_ == Entry.StartedMs_ && Current.Leaving_)
+    Entry.Leaving_ = true;
   const bool Changed = !hasEqualFields(Current, Entry) || Current.Id_.empty();
   Current = std::move(Entry);
   return Changed;
 }
 
 bool BackendDirectory::remove(TimePoint Now, const std::string &Id, bool Trusted) {
+  Held_.erase(Id);
   const auto Found = Entries_.find(Id);
   if (Found == Entries_.end())
     return false;
@@ -33,16 +40,33 @@
     Missing_.emplace(Id, Now + RecoveryTime);
     return false;
   }
-  Entries_.erase(Found);
-  Missing_.erase(Id);
+  erase(Now, Id);
   return true;
 }
 
-bool BackendDirectory::replace(TimePoint Now, std::vector<BackendServer> Entries, bool Trusted) {
+void BackendDirectory::erase(TimePoint Now, const std::string &Id) {
+  Departed_[Id] = {Entries_.at(Id).StartedMs_, Now};
+  Entries_.erase(Id);
+  Missing_.erase(Id);
+}
+
+bool BackendDirectory::hasDeparted(const BackendServer &Entry) const {
+  const auto Found = Departed_.find(Entry.Id_);
+  return Found != Departed_.end() && Found->second.StartedMs_ >= Entry.StartedMs_;
+}
+
+bool BackendDirectory::replace(TimePoint Now, std::vector<BackendServer> Entries, bool Trusted,
+                               bool NewHistory) {
   std::set<std::string> Listed;
   bool Changed = false;
+  Held_.clear();
   for (BackendServer &Entry : Entries) {
     Listed.insert(Entry.Id_);
+    if (NewHistory && hasDeparted(Entry)) {
+      const std::string Id = Entry.Id_;
+      Held_[Id] = {std::move(Entry), Now + RecoveryTime};
+      continue;
+    }
     Changed = put(std::move(Entry)) || Changed;
   }
   std::vector<std::string> Absent;
@@ -61,10 +85,19 @@
       ++Item;
       continue;
     }
-    Entries_.erase(Item->first);
-    Item = Missing_.erase(Item);
+    const std::string Id = Item->first;
+    ++Item;
+    erase(Now, Id);
     Changed = true;
   }
+  std::vector<BackendServer> Recovered;
+  for (const auto &[Id, Item] : Held_)
+    if (Item.Until_ <= Now)
+      Recovered.push_back(Item.Entry_);
+  for (BackendServer &Entry : Recovered)
+    Changed = put(std::move(Entry)) || Changed;
+  for (auto Item = Departed_.begin(); Item != Departed_.end();)
+    Item = Now - Item->second.At_ > DepartureRetention ? Departed_.erase(Item) : std::next(Item);
   return Changed;
 }
 
--- a/src/mesh/backend_gate.cpp
+++ b/src/mesh/backend_gate.cpp
@@ -119,7 +119,7 @@
 }
 
 void BackendGate::submitCall(const HostId &Caller, Call Request, Reply Done) {
-  Fleet_.noteRevision(Request.Known_);
+  Fleet_.noteKnowledge(Request.Known_);
   const CallKey Key(Caller, Request.Id_);
   const auto Reason = findRefusal(Request);
   Shed_.offered();
@@ -253,7 +253,7 @@
   InFlight_ -= Ended.AtServer_ ? 1 : 0;
   Result.Load_ = load();
   Result.Leaving_ = Draining_;
-  Result.Known_ = Fleet_.revision();
+  Result.Known_ = Fleet_.knowledge();
   ++(Result.Outcome_ == Outcome::Served   ? Served_
      : Result.Outcome_ == Outcome::NotRun ? Refused_
                                           : Unknown_);
@@ -271,7 +271,7 @@
                    {"limit", Result.Load_.Limit_},
                    {"age_us", (Now - Ended.Arrived_).count()},
                    {"time_left_us", (Ended.Deadline_ - Now).count()},
-                   {"revision", Result.Known_}});
+                   {"revision", Result.Known_.Position_.Revision_}});
   Ended.Done_(Result);
   if (Ended.AtServer_)
     dispatch();
--- a/src/mesh/codec_fleet_state.cpp
+++ b/src/mesh/codec_fleet_state.cpp
@@ -126,25 +126,30 @@
 }
 
 json encode(const FleetStateQuery &In) {
-  return json::array({static_cast<unsigned>(Form::Query), In.Revision_, In.Version_});
+  return json::array({static_cast<unsigned>(Form::Query), In.Known_.Position_.Era_,
+                      In.Known_.Position_.Revision_, In.Known_.Version_});
 }
 
 json encode(const FleetStateReply &In) {
-  return json::array({static_cast<unsigned>(Form::Reply), In.Revision_, In.Confirmed_,
-                      In.Config_ ? encode(*In.Config_) : json(),
+  return json::array({static_cast<unsigned>(Form::Reply), In.Position_.Era_, In.Position_.Revision_,
+                      In.Confirmed_, In.Config_ ? encode(*In.Config_) : json(),
                       In.Servers_ ? encode(*In.Servers_) : json()});
 }
 
+StorePosition decodePosition(const json &In) {
+  return {In.at(1).get<std::uint64_t>(), In.at(2).get<Revision>()};
+}
+
 FleetStateReply decodeReply(const json &In) {
   FleetStateReply Out;
-  In.at(1).get_to(Out.Revision_);
-  In.at(2).get_to(Out.Confirmed_);
-  if (!In.at(3).is_null())
-    Out.Config_ = decodeConfig(In.at(3));
-  if (In.at(4).is_null())
+  Out.Position_ = decodePosition(In);
+  In.at(3).get_to(Out.Confirmed_);
+  if (!In.at(4).is_null())
+    Out.Config_ = decodeConfig(In.at(4));
+  if (In.at(5).is_null())
     return Out;
   Out.Servers_.emplace();
-  for (const json &Server : In.at(4))
+  for (const json &Server : In.at(5))
     Out.Servers_->push_back(decodeServer(Server));
   return Out;
 }
@@ -158,7 +163,7 @@
 FleetStateBody decodeFleetState(const json &In) {
   switch (In.at(0).get<unsigned>()) {
   case static_cast<unsigned>(Form::Query):
-    return FleetStateQuery{In.at(1).get<Revision>(), In.at(2).get<std::uint64_t>()};
+    return FleetStateQuery{{decodePosition(In), In.at(3).get<std::uint64_t>()}};
   case static_cast<unsigned>(Form::Reply):
     return decodeReply(In);
   default:
--- a/src/mesh/codec_fleet_state.h
+++ b/src/mesh/codec_fleet_state.h
@@ -13,16 +13,15 @@
 
 /// Asks another node for what it knows beyond the sender.
 struct FleetStateQuery {
-  Revision Revision_ = 0;
-  std::uint64_t Version_ = 0; ///< of the configuration in force
+  Knowledge Known_;
 };
 
 /// Answers a query.
 struct FleetStateReply {
-  Revision Revision_ = 0;
+  StorePosition Position_;
   bool Confirmed_ = false;            ///< the platform answers the sender, which has all changes
   std::optional<FleetConfig> Config_; ///< set if its version is higher
-  std::optional<std::vector<BackendServer>> Servers_; ///< set if the revision is higher
+  std::optional<std::vector<BackendServer>> Servers_; ///< set if the position is later
 };
 
 using FleetStateBody = std::variant<FleetStateQuery, FleetStateReply>;
--- a/src/mesh/entry.cpp
+++ b/src/mesh/entry.cpp
@@ -242,8 +242,9 @@
                         {"shed_level", Shed_.of(Now, Outgoing.Service_)},
                         {"retry_after_us", Details.RetryAfter_.value_or(Duration::zero()).count()},
                         {"config_version", Env_.Fleet_.version()},
-                        {"revision", Env_.Fleet_.revision()},
-                        {"peer_revision", Env_.Fleet_.peerRevision()},
+                        {"era", Env_.Fleet_.position().Era_},
+                        {"revision", Env_.Fleet_.position().Revision_},
+                        {"behind", Env_.Fleet_.isBehind(Now)},
                         {"confirmed_age_us", Env_.Fleet_.confirmationAge(Now).count()}});
   Exchange->respond(refusalResponse(Details.Reason_, Outgoing.Request_, Details.RetryAfter_));
 }
@@ -276,7 +277,7 @@
 }
 
 void Entry::onAnswer(const HostId &From, const Answer &Result) {
-  Env_.Fleet_.noteRevision(Result.Known_);
+  Env_.Fleet_.noteKnowledge(Result.Known_);
   const auto Found = Running_.find(Result.Id_);
   if (Found == Running_.end())
     return;
--- a/src/mesh/entry_call.cpp
+++ b/src/mesh/entry_call.cpp
@@ -102,7 +102,7 @@
   Queries_ = 0;
   Call_.TimeLeft_ = Deadline_ - Now;
   Call_.Objective_ = std::max(Duration::zero(), Started_ + Objective_ - Now);
-  Call_.Known_ = Owner_.Env_.Fleet_.revision();
+  Call_.Known_ = Owner_.Env_.Fleet_.knowledge();
   const std::string &Name = Owner_.Env_.Names_.ExpectedServer_;
   if (!Call_.Headers_.empty() && Call_.Headers_.back().Name_ == Name)
     Call_.Headers_.pop_back();
@@ -326,7 +326,7 @@
        {"age_us", (Now - Started_).count()},
        {"time_left_us", (Deadline_ - Now).count()},
        {"config_version", Owner_.Env_.Fleet_.version()},
-       {"revision", Call_.Known_}});
+       {"revision", Call_.Known_.Position_.Revision_}});
 }
 
 } // namespace bronzestand::node
--- a/src/mesh/fleet_state.cpp
+++ b/src/mesh/fleet_state.cpp
@@ -11,6 +11,8 @@
 
 /// A change reaches all nodes within this time if their connections to the platform work.
 constexpr Duration MaxPropagationDelay = std::chrono::milliseconds(500);
+/// What a node told is forgotten after this time, because no node may know it any more.
+constexpr Duration PeerHintLifetime = std::chrono::seconds(3);
 
 } // namespace
 
@@ -41,12 +43,22 @@
     Handler();
 }
 
-void FleetState::noteRevision(Revision Other) {
-  if (Other <= Known_ || Other <= PeerRevision_)
+void FleetState::noteKnowledge(const Knowledge &Other) {
+  if (Other.Position_ <= Known_ && Other.Version_ <= Config_.Version_)
     return;
-  if (PeerRevision_ <= Known_)
-    BehindSince_ = now();
-  PeerRevision_ = Other;
+  const TimePoint Now = now();
+  if (!isBehindPeers(Now)) {
+    BehindSince_ = Now;
+    PeerKnown_ = {};
+  }
+  PeerKnown_.Position_ = std::max(PeerKnown_.Position_, Other.Position_);
+  PeerKnown_.Version_ = std::max(PeerKnown_.Version_, Other.Version_);
+  PeerHeardAt_ = Now;
+}
+
+bool FleetState::isBehindPeers(TimePoint Now) const {
+  return Now - PeerHeardAt_ <= PeerHintLifetime &&
+         (PeerKnown_.Position_ > Known_ || PeerKnown_.Version_ > Config_.Version_);
 }
 
 void FleetState::noteConfirmed(TimePoint Now, Duration Validity) {
@@ -56,11 +68,11 @@
 }
 
 bool FleetState::needsPeers(TimePoint Now) const {
-  return SourceLost_ || Now > ConfirmedUntil_ || PeerRevision_ > Known_;
+  return SourceLost_ || Now > ConfirmedUntil_ || isBehindPeers(Now);
 }
 
 bool FleetState::isBehind(TimePoint Now) const {
-  return PeerRevision_ > Known_ || (needsPeers(Now) && Now > VouchedUntil_);
+  return isBehindPeers(Now) || (needsPeers(Now) && Now > VouchedUntil_);
 }
 
 const FleetTeam *FleetState::findTeam(const TeamId &Name) const {
@@ -91,29 +103,39 @@
     serversChanged();
 }
 
-void FleetState::replace(std::vector<BackendServer> Entries, bool Trusted) {
+void FleetState::replace(std::vector<BackendServer> Entries, bool Trusted, bool NewHistory) {
   const std::size_t Count = Entries.size();
-  const bool Changed = Directory_.replace(now(), std::move(Entries), Trusted) || !Listed_;
+  const bool Changed =
+      Directory_.replace(now(), std::move(Entries), Trusted, NewHistory) || !Listed_;
   Listed_ = true;
   Events_.write(now(), EventClass::Belief, "fleet_state", "list_read",
-                {{"servers", Count}, {"changed", Changed}, {"list_trusted", Trusted}});
+                {{"servers", Count},
+                 {"changed", Changed},
+                 {"list_trusted", Trusted},
+                 {"new_history", NewHistory}});
   if (Changed)
     serversChanged();
 }
 
-// Entries that the other node does not have were removed, because it keeps those that are only
-// missing.
-void FleetState::adopt(std::vector<BackendServer> Entries, Revision Value) {
+// Inside an era, entries that the other node does not have were removed, because it keeps those
+// that are only missing. A node that started after the store was restored never had them.
+void FleetState::adopt(std::vector<BackendServer> Entries, StorePosition Value) {
   if (Value <= Known_)
     return;
-  replace(std::move(Entries), true);
-  setRevision(Value);
+  const bool NewHistory = Listed_ && Value.Era_ != Known_.Era_;
+  replace(std::move(Entries), !NewHistory, NewHistory);
+  setPosition(Value);
 }
 
 void FleetState::tick(TimePoint Now) {
-  if (PeerRevision_ > Known_ && Now - BehindSince_ >= MaxPropagationDelay && Refresh_) {
+  if (isBehindPeers(Now) && Now - BehindSince_ >= MaxPropagationDelay && Refresh_) {
     Events_.write(Now, EventClass::Belief, "fleet_state", "behind_peers",
-                  {{"revision", Known_}, {"peer_revision", PeerRevision_}});
+                  {{"era", Known_.Era_},
+                   {"revision", Known_.Revision_},
+                   {"version", Config_.Version_},
+                   {"peer_era", PeerKnown_.Position_.Era_},
+                   {"peer_revision", PeerKnown_.Position_.Revision_},
+                   {"peer_version", PeerKnown_.Version_}});
     BehindSince_ = Now;
     Refresh_();
   }
@@ -135,10 +157,15 @@
                        {"data_centre", Server.DataCentre_.str()},
                        {"slots", Server.Slots_},
                        {"leaving", Server.Leaving_}});
-  return {{"version", Config_.Version_},    {"revision", Known_},
-          {"peer_revision", PeerRevision_}, {"confirmed_age_us", confirmationAge(now()).count()},
-          {"behind", isBehind(now())},      {"routes", Config_.Routes_.size()},
-          {"teams", Config_.Teams_.size()}, {"listed", Listed_},
+  return {{"version", Config_.Version_},
+          {"era", Known_.Era_},
+          {"revision", Known_.Revision_},
+          {"peer_revision", PeerKnown_.Position_.Revision_},
+          {"confirmed_age_us", confirmationAge(now()).count()},
+          {"behind", isBehind(now())},
+          {"routes", Config_.Routes_.size()},
+          {"teams", Config_.Teams_.size()},
+          {"listed", Listed_},
           {"servers", std::move(Servers)}};
 }
 
--- a/src/mesh/fleet_state.h
+++ b/src/mesh/fleet_state.h
@@ -30,16 +30,18 @@
   void put(BackendServer Entry);
   /// \param Trusted as in BackendDirectory::remove().
   void remove(const std::string &Id, bool Trusted);
-  void replace(std::vector<BackendServer> Entries, bool Trusted);
-  /// Takes over the server list of a node that has applied all changes up to a revision, if this
+  /// \param NewHistory as in BackendDirectory::replace().
+  void replace(std::vector<BackendServer> Entries, bool Trusted, bool NewHistory = false);
+  /// Takes over the server list of a node that has applied all changes up to a position, if this
   /// node has not.
-  void adopt(std::vector<BackendServer> Entries, Revision Value);
-  /// Records the revision of a change that this node has applied; lower ones are ignored.
-  void setRevision(Revision Value) { Known_ = std::max(Known_, Value); }
-  Revision revision() const { return Known_; }
-  /// Records that another node knows this revision. If this node does not receive it soon, its
-  /// connection to the platform is assumed to be dead and is replaced.
-  void noteRevision(Revision Other);
+  void adopt(std::vector<BackendServer> Entries, StorePosition Value);
+  /// Records the position of a change that this node has applied; earlier ones are ignored.
+  void setPosition(StorePosition Value) { Known_ = std::max(Known_, Value); }
+  StorePosition position() const { return Known_; }
+  Knowledge knowledge() const { return {Known_, Config_.Version_}; }
+  /// Records what another node knows. If this node does not receive it soon, its connection to the
+  /// platform is assumed to be dead and is replaced.
+  void noteKnowledge(const Knowledge &Other);
   /// Records that the platform answered, so that this node has all changes up to now.
   /// \param Validity time within which the next answer is expected.
   void noteConfirmed(TimePoint Now, Duration Validity);
@@ -54,8 +56,6 @@
   bool isBehind(TimePoint Now) const;
   /// Returns the time since the platform last answered; since the start if it never did.
   Duration confirmationAge(TimePoint Now) const { return Now - ConfirmedAt_; }
-  /// Highest revision that other nodes have told this one.
-  Revision peerRevision() const { return PeerRevision_; }
   /// Appends metrics as Prometheus text.
   void print(TimePoint Now, std::string &Out) const;
 
@@ -85,6 +85,8 @@
 
 private:
   void serversChanged();
+  /// Returns whether another node has recently told more than this node knows.
+  bool isBehindPeers(TimePoint Now) const;
 
   HostId Host_;
   EventLog &Events_;
@@ -94,8 +96,9 @@
   std::string Salt_;
   BackendDirectory Directory_;
   bool Listed_ = false;
-  Revision Known_ = 0;
-  Revision PeerRevision_ = 0; ///< highest revision that other nodes know
+  StorePosition Known_;
+  Knowledge PeerKnown_; ///< the most that other nodes have told
+  TimePoint PeerHeardAt_{};
   TimePoint BehindSince_{};
   TimePoint ConfirmedAt_;
   TimePoint ConfirmedUntil_{}; ///< the platform should have answered again by then
--- a/src/mesh/state_exchange.cpp
+++ b/src/mesh/state_exchange.cpp
@@ -10,6 +10,8 @@
 constexpr Duration MinBehindTime = std::chrono::milliseconds(300);
 /// Interval between queries, each to another host.
 constexpr Duration QueryInterval = std::chrono::milliseconds(400);
+/// Queries after the start before a node takes what it read from the platform for complete.
+constexpr std::uint64_t MaxStartQueries = 5;
 /// A peer that has all changes vouches for this node for this long, which covers a lost reply.
 constexpr Duration VouchTime = 3 * QueryInterval;
 
@@ -27,13 +29,16 @@
   return absl::OkStatus();
 }
 
+// A platform that was restored from a copy gives a node that starts older data than its peers have.
+bool StateExchange::isStarting() const {
+  return Fleet_.isReady() && !Answered_ && Queries_ < MaxStartQueries;
+}
+
 void StateExchange::tick(TimePoint Now) {
-  if (!Fleet_.needsPeers(Now)) {
-    BehindSince_ = TimePoint::max();
-    return;
-  }
-  BehindSince_ = std::min(BehindSince_, Now);
-  if (Now - BehindSince_ < MinBehindTime || Now - AskedAt_ < QueryInterval)
+  const bool Behind = Fleet_.needsPeers(Now);
+  BehindSince_ = Behind ? std::min(BehindSince_, Now) : TimePoint::max();
+  const bool Wanted = isStarting() || (Behind && Now - BehindSince_ >= MinBehindTime);
+  if (!Wanted || Now - AskedAt_ < QueryInterval)
     return;
   const HostId Peer = randomPeer();
   if (Peer.empty())
@@ -41,7 +46,7 @@
   AskedAt_ = Now;
   ++Queries_;
   Links_.send(Peer, MessageKind::ConfigSpread,
-              encodeFleetState(FleetStateQuery{Fleet_.revision(), Fleet_.version()}));
+              encodeFleetState(FleetStateQuery{Fleet_.knowledge()}));
 }
 
 HostId StateExchange::randomPeer() {
@@ -65,11 +70,11 @@
   if (!Fleet_.isReady())
     return;
   FleetStateReply Reply;
-  Reply.Revision_ = Fleet_.revision();
+  Reply.Position_ = Fleet_.position();
   Reply.Confirmed_ = !Fleet_.needsPeers(now());
-  if (Fleet_.version() > Query.Version_)
+  if (Fleet_.version() > Query.Known_.Version_)
     Reply.Config_ = Fleet_.config();
-  if (Fleet_.revision() > Query.Revision_) {
+  if (Fleet_.position() > Query.Known_.Position_) {
     Reply.Servers_.emplace();
     for (const auto &[Id, Server] : Fleet_.servers().all())
       Reply.Servers_->push_back(Server);
@@ -80,23 +85,24 @@
 void StateExchange::onReply(const HostId &From, FleetStateReply Reply) {
   const TimePoint Now = now();
   // A reply that comes late must not replace what the platform has said since.
-  if (!Fleet_.needsPeers(Now))
+  if (!Fleet_.needsPeers(Now) && !isStarting())
     return;
-  const Revision Before = Fleet_.revision();
-  const std::uint64_t VersionBefore = Fleet_.version();
+  Answered_ = true;
+  const Knowledge Before = Fleet_.knowledge();
   if (Reply.Config_)
     Fleet_.apply(*std::move(Reply.Config_));
   if (Reply.Servers_)
-    Fleet_.adopt(*std::move(Reply.Servers_), Reply.Revision_);
-  if (Reply.Confirmed_ && Reply.Revision_ >= Fleet_.revision())
+    Fleet_.adopt(*std::move(Reply.Servers_), Reply.Position_);
+  if (Reply.Confirmed_ && Reply.Position_ >= Fleet_.position())
     Fleet_.noteVouched(Now + VouchTime);
-  if (Fleet_.revision() == Before && Fleet_.version() == VersionBefore)
+  if (Fleet_.position() == Before.Position_ && Fleet_.version() == Before.Version_)
     return;
   ++Adopted_;
   Events_.write(Now, EventClass::Belief, "state_exchange", "state_adopted",
                 {{"peer", From.str()},
-                 {"revision", Fleet_.revision()},
-                 {"previous", Before},
+                 {"era", Fleet_.position().Era_},
+                 {"revision", Fleet_.position().Revision_},
+                 {"previous", Before.Position_.Revision_},
                  {"version", Fleet_.version()},
                  {"peer_confirmed", Reply.Confirmed_}});
 }
--- a/src/mesh/state_exchange.h
+++ b/src/mesh/state_exchange.h
@@ -10,9 +10,9 @@
 
 namespace bronzestand::node {
 
-/// Gets from other nodes what this node cannot get from the platform. A node asks only while the
-/// platform does not answer it, or while another node knows more, so that a healthy fleet sends
-/// nothing. Design section 4.
+/// Gets from other nodes what this node cannot get from the platform. A node asks after its start,
+/// while the platform does not answer it, and while another node knows more, so that a healthy
+/// fleet sends nothing. Design section 4.
 class StateExchange final : public Part {
 public:
   StateExchange(const Settings &Config, FleetState &Fleet, PeerLinks &Links, EventLog &Events,
@@ -28,6 +28,8 @@
   void onMessage(const HostId &From, const nlohmann::json &Body);
   void onQuery(const HostId &From, const FleetStateQuery &Query);
   void onReply(const HostId &From, FleetStateReply Reply);
+  /// Tells whether no other node has answered since the start.
+  bool isStarting() const;
   /// Returns a random host of the fleet other than this one; empty if none is known.
   HostId randomPeer();
 
@@ -38,6 +40,7 @@
   std::mt19937_64 Random_;
   TimePoint BehindSince_ = TimePoint::max();
   TimePoint AskedAt_{};
+  bool Answered_ = false; ///< a node has answered since the start
   std::uint64_t Queries_ = 0;
   std::uint64_t Adopted_ = 0; ///< replies that changed what this node knows
 };
--- a/src/node/codec_call.cpp
+++ b/src/node/codec_call.cpp
@@ -25,6 +25,15 @@
   return static_cast<Enum>(Value);
 }
 
+/// Nodes of earlier builds send the revision alone.
+void decodeKnowledge(const json &In, std::size_t First, Knowledge &Out) {
+  In.at(First).get_to(Out.Position_.Revision_);
+  if (In.size() <= First + 1)
+    return;
+  In.at(First + 1).get_to(Out.Position_.Era_);
+  In.at(First + 2).get_to(Out.Version_);
+}
+
 } // namespace
 
 void to_json(json &Out, const Header &In) { Out = json::array({In.Name_, In.Value_}); }
@@ -56,10 +65,27 @@
 }
 
 void to_json(json &Out, const Call &In) {
-  Out = json::array({In.Id_, In.Request_, In.Team_, In.Class_, In.Service_, In.Method_, In.Target_,
-                     In.Headers_, toBinary(In.Body_), In.TimeLeft_.count(), In.Attempts_,
-                     In.Standing_.value(), In.IdempotencyKey_, In.KeyId_, In.Fingerprint_,
-                     In.AtMostOnce_, In.Idempotent_, In.Objective_.count(), In.Known_});
+  Out = json::array({In.Id_,
+                     In.Request_,
+                     In.Team_,
+                     In.Class_,
+                     In.Service_,
+                     In.Method_,
+                     In.Target_,
+                     In.Headers_,
+                     toBinary(In.Body_),
+                     In.TimeLeft_.count(),
+                     In.Attempts_,
+                     In.Standing_.value(),
+                     In.IdempotencyKey_,
+                     In.KeyId_,
+                     In.Fingerprint_,
+                     In.AtMostOnce_,
+                     In.Idempotent_,
+                     In.Objective_.count(),
+                     In.Known_.Position_.Revision_,
+                     In.Known_.Position_.Era_,
+                     In.Known_.Version_});
 }
 
 void from_json(const json &In, Call &Out) {
@@ -82,13 +108,14 @@
   In.at(15).get_to(Out.AtMostOnce_);
   In.at(16).get_to(Out.Idempotent_);
   Out.Objective_ = Duration(In.at(17).get<Duration::rep>());
-  In.at(18).get_to(Out.Known_);
+  decodeKnowledge(In, 18, Out.Known_);
 }
 
 void to_json(json &Out, const Answer &In) {
   Out = json::array({In.Id_, static_cast<unsigned>(In.Outcome_), static_cast<unsigned>(In.Refusal_),
                      In.HttpStatus_, In.Headers_, toBinary(In.Body_), In.UnusedAttempts_,
-                     In.Levels_, In.Leaving_, In.Load_, In.Known_});
+                     In.Levels_, In.Leaving_, In.Load_, In.Known_.Position_.Revision_,
+                     In.Known_.Position_.Era_, In.Known_.Version_});
 }
 
 void from_json(const json &In, Answer &Out) {
@@ -102,7 +129,7 @@
   In.at(7).get_to(Out.Levels_);
   In.at(8).get_to(Out.Leaving_);
   In.at(9).get_to(Out.Load_);
-  In.at(10).get_to(Out.Known_);
+  decodeKnowledge(In, 10, Out.Known_);
 }
 
 } // namespace bronzestand
--- a/tests/unit/codec_fleet_state_test.cpp
+++ b/tests/unit/codec_fleet_state_test.cpp
@@ -47,11 +47,11 @@
 // Guards against a field of the configuration that is lost between nodes.
 TEST_CASE("codec_fleet_state_config_round_trip_keeps_all_fields") {
   FleetStateReply Reply;
-  Reply.Revision_ = 31;
+  Reply.Position_ = {2, 31};
   Reply.Confirmed_ = true;
   Reply.Config_ = sampleConfig();
   const FleetStateReply Decoded = roundTrip(Reply);
-  CHECK(Decoded.Revision_ == 31);
+  CHECK(Decoded.Position_ == StorePosition{2, 31});
   CHECK(Decoded.Confirmed_);
   CHECK_FALSE(Decoded.Servers_);
   REQUIRE(Decoded.Config_);
@@ -123,7 +123,7 @@
 
 // Guards against a malformed message that ends the node or is taken as a state.
 TEST_CASE("codec_fleet_state_malformed_message_is_rejected") {
-  for (const char *Text : {"[]", "[2,1,1]", "[0,1]", "[0,-1,\"x\"]", "[1,1,true,[1],null]",
-                           "[1,1,true,null,[[1]]]", "[1,1,1,null,null]", "{}"})
+  for (const char *Text : {"[]", "[2,1,1,1]", "[0,1]", "[0,1,1,\"x\"]", "[1,1,1,true,[1],null]",
+                           "[1,1,1,true,null,[[1]]]", "[1,1,1,1,null,null]", "{}"})
     CHECK_THROWS_AS(decodeFleetState(json::parse(Text)), json::exception);
 }
--- a/tests/unit/store_watch_test.cpp
+++ b/tests/unit/store_watch_test.cpp
@@ -142,7 +142,7 @@
   startWatch();
   Store_.silenceWatches();
   putServer("i-2", "ready");
-  Fleet_->noteRevision(Store_.revision());
+  Fleet_->noteKnowledge({{Store_.era(), Store_.revision()}, 0});
   CHECK(runUntil([&] {
     Fleet_->tick(node::now());
     return Fleet_->servers().find("i-2") != nullptr;
@@ -181,7 +181,7 @@
   REQUIRE(runUntil([&] { return Store_.watches() > Before; }));
   Store_.setSilent(false);
   putConfig(5);
-  Fleet_->noteRevision(Store_.revision());
+  Fleet_->noteKnowledge({{Store_.era(), Store_.revision()}, 0});
   CHECK(isInForce(5, ContactTime));
 }
 
@@ -189,7 +189,7 @@
 TEST_CASE_METHOD(StoreFixture, "store_watch_behind_peers_keeps_one_watch") {
   startWatch();
   Store_.silenceWatches();
-  Fleet_->noteRevision(Store_.revision() + 100);
+  Fleet_->noteKnowledge({{Store_.era(), Store_.revision() + 100}, 0});
   const auto End = std::chrono::steady_clock::now() + ContactTime;
   runUntil(
       [&] {
