Use a server that is missing from the list as a last resort

The node had been cut off from the store until shortly before, did not trust the removal, and kept using the server for 2.5 s.

Cause: a removal that may be a lapsed registration was treated as if nothing had happened. Whether a server has left or only lapsed cannot be told at that time.

Change: while a server is missing and kept, it gets calls only if no other server of the service can take them; when the whole list has lapsed, all of them serve as before.

Test: choice_server_missing_from_list_is_the_last_resort fails without the change.

--- a/include/bronzestand/backend_choice.h
+++ b/include/bronzestand/backend_choice.h
@@ -33,9 +33,9 @@
   /// \param Regions region of each data centre.
   BackendChoice(DataCentreId Home, std::unordered_map<std::string, std::string> Regions);
 
-  /// Chooses a server.
-  /// \param Excluded ids of servers that must not be chosen, such as those already tried.
-  /// \param Objective latency objective of the call; zero if it has none.
+  /// Chooses a server. One that is missing from the platform's list may have left, and is only
+  /// chosen if there is no other. \param Excluded ids of servers that must not be chosen, such as
+  /// those already tried. \param Objective latency objective of the call; zero if it has none.
   /// \param Bytes expected size of request and answer.
   /// \return the server, or nullptr if none may be used.
   /// Cost: linear in the servers of the service.
--- a/include/bronzestand/backend_directory.h
+++ b/include/bronzestand/backend_directory.h
@@ -51,6 +51,9 @@
 
   /// Returns the server with an id, or nullptr if it is not listed.
   const BackendServer *find(const std::string &Id) const;
+  /// Returns whether a server is missing from the platform's list and kept, because the list is not
+  /// reliable.
+  bool isMissing(const std::string &Id) const { return Missing_.count(Id) != 0; }
   /// Returns the server at a host, the one started last; nullptr if none is listed.
   const BackendServer *findByHost(const HostId &Host) const;
   /// Returns the servers of a service, ordered by id.
--- a/src/engine/backend_choice.cpp
+++ b/src/engine/backend_choice.cpp
@@ -105,27 +105,35 @@
                                            const ServiceId &Service,
                                            const std::set<std::string> &Excluded,
                                            Duration Objective, double Bytes) const {
-  const BackendServer *Best = nullptr;
-  const BackendServer *Avoided = nullptr;
-  double BestCost = 0.0;
+  struct Candidates {
+    const BackendServer *Best_ = nullptr;
+    const BackendServer *Avoided_ = nullptr; ///< the one that was unreachable first
+    double Cost_ = 0.0;
+
+    const BackendServer *first() const { return Best_ != nullptr ? Best_ : Avoided_; }
+  };
+  Candidates Listed;
+  Candidates Missing;
   for (const BackendServer *Server : Directory.findByService(Service)) {
     // Skips a server whose address is now used by one that started later.
     if (Server->Leaving_ || Excluded.count(Server->Id_) != 0 ||
         Directory.findByHost(Server->Host_) != Server)
       continue;
+    Candidates &Group = Directory.isMissing(Server->Id_) ? Missing : Listed;
     const auto Found = Records_.find(Server->Id_);
     if (Found != Records_.end() && Now < Found->second.AvoidUntil_) {
-      if (Avoided == nullptr || Found->second.AvoidUntil_ < Records_.at(Avoided->Id_).AvoidUntil_)
-        Avoided = Server;
+      if (Group.Avoided_ == nullptr ||
+          Found->second.AvoidUntil_ < Records_.at(Group.Avoided_->Id_).AvoidUntil_)
+        Group.Avoided_ = Server;
       continue;
     }
     const double Cost = cost(Now, *Server, Objective, Bytes);
-    if (Best == nullptr || Cost < BestCost) {
-      Best = Server;
-      BestCost = Cost;
+    if (Group.Best_ == nullptr || Cost < Group.Cost_) {
+      Group.Best_ = Server;
+      Group.Cost_ = Cost;
     }
   }
-  return Best != nullptr ? Best : Avoided;
+  return Listed.first() != nullptr ? Listed.first() : Missing.first();
 }
 
 void BackendChoice::started(const std::string &Id) {
--- a/tests/unit/backend_choice_test.cpp
+++ b/tests/unit/backend_choice_test.cpp
@@ -119,3 +119,17 @@
   Choice_.report(Now_, "i-near", {0, 0, 10, milliseconds(100), false});
   CHECK(choose() == "i-near");
 }
+
+// Guards against requests to a server that left while this node did not trust the platform's list,
+// although another server can take them.
+TEST_CASE_METHOD(ChoiceFixture, "choice_server_missing_from_list_is_the_last_resort") {
+  Directory_.remove(Now_, "i-near", false);
+  CHECK(choose() == "i-region");
+  Choice_.unreachable(Now_, "i-region");
+  CHECK(choose({"i-far"}) == "i-region");
+  Directory_.remove(Now_, "i-region", false);
+  Directory_.remove(Now_, "i-far", false);
+  CHECK(choose() == "i-near");
+  add("i-region", "10.0.0.2", "matara");
+  CHECK(choose() == "i-region");
+}
