--- a/src/engine/backend_choice.cpp
+++ b/src/engine/backend_choice.cpp
@@ -109,8 +109,6 @@
     const BackendServer *Best_ = nullptr;
     const BackendServer *Avoided_ = nullptr; ///< the one that was unreachable first
     double Cost_ = 0.0;
-
-    const BackendServer *first() const { return Best_ != nullptr ? Best_ : Avoided_; }
   };
   Candidates Listed;
   Candidates Missing;
@@ -133,7 +131,10 @@
       Group.Cost_ = Cost;
     }
   }
-  return Listed.first() != nullptr ? Listed.first() : Missing.first();
+  for (const BackendServer *Server : {Listed.Best_, Missing.Best_, Listed.Avoided_})
+    if (Server != nullptr)
+      return Server;
+  return Missing.Avoided_;
 }
 
 void BackendChoice::started(const std::string &Id) {
