--- a/src/mesh/codec_fleet_state.cpp
+++ b/src/mesh/codec_fleet_state.cpp
@@ -133,7 +133,7 @@
 json encode(const FleetStateReply &In) {
   return json::array({static_cast<unsigned>(Form::Reply), In.Position_.Era_, In.Position_.Revision_,
                       In.Confirmed_, In.Config_ ? encode(*In.Config_) : json(),
-                      In.Servers_ ? encode(*In.Servers_) : json()});
+                      In.Servers_ ? encode(*In.Servers_) : json(), In.Missing_});
 }
 
 StorePosition decodePosition(const json &In) {
@@ -151,6 +151,7 @@
   Out.Servers_.emplace();
   for (const json &Server : In.at(5))
     Out.Servers_->push_back(decodeServer(Server));
+  In.at(6).get_to(Out.Missing_);
   return Out;
 }
 
--- a/src/mesh/codec_fleet_state.h
+++ b/src/mesh/codec_fleet_state.h
@@ -22,6 +22,7 @@
   bool Confirmed_ = false;            ///< the platform answers the sender, which has all changes
   std::optional<FleetConfig> Config_; ///< set if its version is higher
   std::optional<std::vector<BackendServer>> Servers_; ///< set if the position is later
+  std::vector<std::string> Missing_; ///< ids of servers that the platform no longer lists
 };
 
 using FleetStateBody = std::variant<FleetStateQuery, FleetStateReply>;
--- a/src/mesh/fleet_state.cpp
+++ b/src/mesh/fleet_state.cpp
@@ -44,7 +44,7 @@
 }
 
 void FleetState::noteKnowledge(const Knowledge &Other) {
-  if (Other.Position_ <= Known_ && Other.Version_ <= Config_.Version_)
+  if (Other.Position_ <= completeUntil() && Other.Version_ <= Config_.Version_)
     return;
   const TimePoint Now = now();
   if (!isBehindPeers(Now)) {
@@ -58,10 +58,11 @@
 
 bool FleetState::isBehindPeers(TimePoint Now) const {
   return Now - PeerHeardAt_ <= PeerHintLifetime &&
-         (PeerKnown_.Position_ > Known_ || PeerKnown_.Version_ > Config_.Version_);
+         (PeerKnown_.Position_ > completeUntil() || PeerKnown_.Version_ > Config_.Version_);
 }
 
-void FleetState::noteConfirmed(TimePoint Now, Duration Validity) {
+void FleetState::noteConfirmed(TimePoint Now, Duration Validity, StorePosition Checked) {
+  Checked_ = std::max(Checked_, Checked);
   ConfirmedAt_ = Now;
   ConfirmedUntil_ = Now + Validity;
   SourceLost_ = false;
@@ -119,11 +120,14 @@
 
 // Inside an era, entries that the other node does not have were removed, because it keeps those
 // that are only missing. A node that started after the store was restored never had them.
-void FleetState::adopt(std::vector<BackendServer> Entries, StorePosition Value) {
-  if (Value <= Known_)
+void FleetState::adopt(std::vector<BackendServer> Entries, const std::vector<std::string> &Missing,
+                       StorePosition Value) {
+  if (Value <= completeUntil())
     return;
   const bool NewHistory = Listed_ && Value.Era_ != Known_.Era_;
   replace(std::move(Entries), !NewHistory, NewHistory);
+  for (const std::string &Id : Missing)
+    remove(Id, false);
   setPosition(Value);
 }
 
--- a/src/mesh/fleet_state.h
+++ b/src/mesh/fleet_state.h
@@ -34,7 +34,9 @@
   void replace(std::vector<BackendServer> Entries, bool Trusted, bool NewHistory = false);
   /// Takes over the server list of a node that has applied all changes up to a position, if this
   /// node has not.
-  void adopt(std::vector<BackendServer> Entries, StorePosition Value);
+  /// \param Missing ids of entries that are missing from the platform's list and kept by that node.
+  void adopt(std::vector<BackendServer> Entries, const std::vector<std::string> &Missing,
+             StorePosition Value);
   /// Records the position of a change that this node has applied; earlier ones are ignored.
   void setPosition(StorePosition Value) { Known_ = std::max(Known_, Value); }
   StorePosition position() const { return Known_; }
@@ -44,7 +46,9 @@
   void noteKnowledge(const Knowledge &Other);
   /// Records that the platform answered, so that this node has all changes up to now.
   /// \param Validity time within which the next answer is expected.
-  void noteConfirmed(TimePoint Now, Duration Validity);
+  /// \param Checked position up to which this node has all changes. It is later than position() if
+  ///        the last changes did not concern the fleet.
+  void noteConfirmed(TimePoint Now, Duration Validity, StorePosition Checked);
   /// Records that a request to the platform failed.
   void noteSourceLost() { SourceLost_ = true; }
   /// Records that a node that has all changes knows no more than this one.
@@ -85,6 +89,8 @@
 
 private:
   void serversChanged();
+  /// Returns the position up to which this node has all changes.
+  StorePosition completeUntil() const { return std::max(Known_, Checked_); }
   /// Returns whether another node has recently told more than this node knows.
   bool isBehindPeers(TimePoint Now) const;
 
@@ -97,6 +103,7 @@
   BackendDirectory Directory_;
   bool Listed_ = false;
   StorePosition Known_;
+  StorePosition Checked_;
   Knowledge PeerKnown_; ///< the most that other nodes have told
   TimePoint PeerHeardAt_{};
   TimePoint BehindSince_{};
--- a/src/mesh/state_exchange.cpp
+++ b/src/mesh/state_exchange.cpp
@@ -76,8 +76,11 @@
     Reply.Config_ = Fleet_.config();
   if (Fleet_.position() > Query.Known_.Position_) {
     Reply.Servers_.emplace();
-    for (const auto &[Id, Server] : Fleet_.servers().all())
+    for (const auto &[Id, Server] : Fleet_.servers().all()) {
       Reply.Servers_->push_back(Server);
+      if (Fleet_.servers().isMissing(Id))
+        Reply.Missing_.push_back(Id);
+    }
   }
   Links_.send(From, MessageKind::ConfigSpread, encodeFleetState(std::move(Reply)));
 }
@@ -92,7 +95,7 @@
   if (Reply.Config_)
     Fleet_.apply(*std::move(Reply.Config_));
   if (Reply.Servers_)
-    Fleet_.adopt(*std::move(Reply.Servers_), Reply.Position_);
+    Fleet_.adopt(*std::move(Reply.Servers_), Reply.Missing_, Reply.Position_);
   if (Reply.Confirmed_ && Reply.Position_ >= Fleet_.position())
     Fleet_.noteVouched(Now + VouchTime);
   if (Fleet_.position() == Before.Position_ && Fleet_.version() == Before.Version_)
--- a/tests/unit/codec_fleet_state_test.cpp
+++ b/tests/unit/codec_fleet_state_test.cpp
@@ -105,6 +105,7 @@
   Server.Leaving_ = true;
   FleetStateReply Reply;
   Reply.Servers_ = std::vector<BackendServer>{Server};
+  Reply.Missing_ = {"i-1"};
   const FleetStateReply Decoded = roundTrip(Reply);
   CHECK_FALSE(Decoded.Config_);
   REQUIRE(Decoded.Servers_);
@@ -119,6 +120,7 @@
   CHECK(Out.StartedMs_ == Server.StartedMs_);
   CHECK(Out.ColdFor_ == Server.ColdFor_);
   CHECK(Out.Leaving_);
+  CHECK(Decoded.Missing_ == std::vector<std::string>{"i-1"});
 }
 
 // Guards against a malformed message that ends the node or is taken as a state.
--- a/tests/unit/store_watch_test.cpp
+++ b/tests/unit/store_watch_test.cpp
@@ -72,6 +72,28 @@
         },
         Limit);
   }
+  /// Returns servers like "i-1" under other ids.
+  std::vector<BackendServer> serversLikeFirst(const std::vector<std::string> &Ids) const {
+    std::vector<BackendServer> Result;
+    for (const std::string &Id : Ids) {
+      Result.push_back(*Fleet_->servers().find("i-1"));
+      Result.back().Id_ = Id;
+    }
+    return Result;
+  }
+  /// Tells whether a server is listed, or not listed, at some time within the limit.
+  bool isListed(const std::string &Id, bool Expected, milliseconds Limit) {
+    return runUntil(
+        [&] {
+          Fleet_->tick(node::now());
+          return (Fleet_->servers().find(Id) != nullptr) == Expected;
+        },
+        Limit);
+  }
+  void runFor(milliseconds Time) {
+    const auto End = std::chrono::steady_clock::now() + Time;
+    runUntil([&] { return std::chrono::steady_clock::now() >= End; }, 2 * Time);
+  }
   void startWatch() {
     putConfig(3);
     putServer("i-1", "ready");
@@ -331,3 +353,92 @@
   Store_.setEra(Era);
   CHECK(runUntil(IsLeaving, ApplyTime));
 }
+
+// Guards against a removed server that comes back for good with the state of a peer that is behind.
+TEST_CASE_METHOD(StoreFixture, "store_watch_state_of_peer_behind_listing_is_ignored") {
+  putServer("i-1", "ready");
+  putServer("i-2", "ready");
+  putServer("i-3", "ready");
+  putConfig(3);
+  Store_.remove("servers/i-3");
+  const StorePosition Peer{Store_.era(), Store_.revision()};
+  Store_.remove("servers/i-2");
+  REQUIRE(Watch_->start().ok());
+  REQUIRE(runUntil([&] { return Fleet_->isReady() && Store_.isWatched(); }));
+  Fleet_->noteKnowledge({Peer, 3});
+  CHECK_FALSE(Fleet_->isBehind(node::now()));
+  Fleet_->adopt(serversLikeFirst({"i-1", "i-2"}), {}, Peer);
+  CHECK(Fleet_->servers().find("i-2") == nullptr);
+}
+
+// Guards against a server that stays lost, because an older listing replaced the state of a peer
+// and the watch continued behind the server's registration.
+TEST_CASE_METHOD(StoreFixture, "store_watch_state_of_peer_during_listing_loses_no_server") {
+  startWatch();
+  Store_.setDelay(milliseconds(500));
+  const int Before = Store_.listings();
+  Store_.forgetHistory();
+  REQUIRE(runUntil([&] { return Store_.listings() > Before; }));
+  putServer("i-9", "ready");
+  Fleet_->adopt(serversLikeFirst({"i-1", "i-9"}), {}, {Store_.era(), Store_.revision()});
+  runFor(milliseconds(800));
+  CHECK(isListed("i-9", true, ContactTime));
+}
+
+// Guards against a removed server that stays listed, because an older answer arrived after the
+// state of a peer.
+TEST_CASE_METHOD(StoreFixture, "store_watch_late_answer_after_state_of_peer_is_corrected") {
+  startWatch();
+  Store_.setDelay(milliseconds(600));
+  putServer("i-2", "ready");
+  runFor(milliseconds(50));
+  Store_.remove("servers/i-2");
+  Fleet_->adopt(serversLikeFirst({"i-1"}), {}, {Store_.era(), Store_.revision()});
+  runFor(milliseconds(800));
+  CHECK(isListed("i-2", false, ContactTime));
+}
+
+// Guards against an entry that a peer keeps only for now and that this node would keep for good.
+TEST_CASE_METHOD(StoreFixture, "store_watch_missing_server_of_peer_expires") {
+  startWatch();
+  Store_.setSilent(true);
+  Store_.failWatches(503);
+  Fleet_->adopt(serversLikeFirst({"i-1", "i-2"}), {"i-2"}, {Store_.era(), Store_.revision() + 1});
+  CHECK(Fleet_->servers().isMissing("i-2"));
+  CHECK(isListed("i-2", false, ContactTime));
+}
+
+// Guards against listings without a pause when the store keeps saying that the history is lost.
+TEST_CASE_METHOD(StoreFixture, "store_watch_restored_store_without_era_is_not_flooded") {
+  Store_.setEra(0);
+  startWatch();
+  const auto Copy = Store_.copy();
+  for (int Count = 0; Count < 20; ++Count)
+    putServer("i-2", Count % 2 == 0 ? "draining" : "ready");
+  putConfig(5);
+  REQUIRE(isInForce(5, ApplyTime));
+  Store_.restore(Copy);
+  Store_.setEra(0);
+  const int Before = Store_.listings();
+  runFor(milliseconds(2000));
+  CHECK(Store_.listings() - Before <= 4);
+}
+
+// Guards against a node that never receives a change because each request is given up before a slow
+// store answers it.
+TEST_CASE_METHOD(StoreFixture, "store_watch_slow_store_is_followed") {
+  startWatch();
+  Store_.setDelay(milliseconds(1600));
+  runFor(milliseconds(4000));
+  putConfig(5);
+  CHECK(isInForce(5, milliseconds(8000)));
+}
+
+// Guards against a node that takes itself for behind again and again while the store is slow.
+TEST_CASE_METHOD(StoreFixture, "store_watch_slow_store_does_not_make_node_behind") {
+  startWatch();
+  Store_.setDelay(milliseconds(1000));
+  runFor(milliseconds(4000));
+  const bool Behind = runUntil([&] { return Fleet_->isBehind(node::now()); }, milliseconds(6000));
+  CHECK_FALSE(Behind);
+}
