Keep the end of a kept entry when an earlier run is listed

A kept server stayed in the directory without end, as the last entry of its host and no longer marked as missing, if an entry of an earlier run of it was put while it was kept. A restored platform may list such an entry.

Cause: put() erased the time at which the kept entry ends before it compared the runs.

Test: directory_late_entry_of_earlier_run_does_not_prolong_kept_one failed before (3 of 4 checks).

Change: put() marks an entry as listed only when the new one replaces it.

--- a/src/engine/backend_directory.cpp
+++ b/src/engine/backend_directory.cpp
@@ -17,12 +17,12 @@
 } // namespace
 
 bool BackendDirectory::put(BackendServer Entry) {
-  Missing_.erase(Entry.Id_);
   Held_.erase(Entry.Id_);
   Departed_.erase(Entry.Id_);
   BackendServer &Current = Entries_[Entry.Id_];
   if (Current.StartedMs_ > Entry.StartedMs_)
     return false; // the new entry is of an earlier run of the server
+  Missing_.erase(Entry.Id_);
   if (Current.StartedMs_ == Entry.StartedMs_ && Current.Leaving_)
     Entry.Leaving_ = true;
   const bool Changed = !hasEqualFields(Current, Entry) || Current.Id_.empty();
--- a/tests/unit/backend_directory_test.cpp
+++ b/tests/unit/backend_directory_test.cpp
@@ -198,3 +198,14 @@
   CHECK(Directory_.all().size() == 1);
   CHECK(Directory_.find("i-1")->Host_ == HostId("10.0.0.1"));
 }
+
+// Guards against a server that is kept for ever when an entry of its earlier run arrives late.
+TEST_CASE_METHOD(DirectoryFixture,
+                 "directory_late_entry_of_earlier_run_does_not_prolong_kept_one") {
+  Directory_.put(makeServer("i-1", "10.0.0.1", 2));
+  restore({}, {});
+  CHECK_FALSE(Directory_.put(makeServer("i-1", "10.0.0.1", 1)));
+  CHECK(Directory_.isMissing("i-1"));
+  CHECK(Directory_.expire(Now_ + milliseconds(2500)));
+  CHECK_FALSE(isUsed("i-1"));
+}
