Remember a removed run when an earlier run is put

A removed run got calls at once when a restored platform listed it, although removed runs are to be held back for 2.5 s, if an entry of an earlier run of the server had been put since its removal. This takes two runs out of order: a replayed change, or a wall clock of the server's host that went back.

Cause: put() erased the removal whatever run the entry was of, and the removal of the earlier run replaced that of the later one.

Test: directory_entry_of_earlier_run_keeps_removal_of_later_one failed before in both sections.

Change: only the same or a later run erases a removal, and a server's latest removed run is kept. An earlier run that is put is used as before.

--- a/include/bronzestand/backend_directory.h
+++ b/include/bronzestand/backend_directory.h
@@ -65,7 +65,7 @@
 
 private:
   std::map<std::string, BackendServer> Entries_;
-  /// A run of a server that was removed.
+  /// The latest run of a server that was removed.
   struct Departure {
     std::uint64_t StartedMs_ = 0;
     TimePoint At_;
@@ -76,7 +76,7 @@
     TimePoint Until_;
   };
 
-  /// Tells whether the run of an entry was removed.
+  /// Tells whether the run of an entry, or a later one, was removed and is not used again.
   bool hasDeparted(const BackendServer &Entry) const;
   void erase(TimePoint Now, const std::string &Id);
 
--- a/src/engine/backend_directory.cpp
+++ b/src/engine/backend_directory.cpp
@@ -1,5 +1,7 @@
 #include "bronzestand/backend_directory.h"
 
+#include <algorithm>
+
 namespace bronzestand {
 namespace {
 
@@ -18,11 +20,14 @@
 
 bool BackendDirectory::put(BackendServer Entry) {
   Held_.erase(Entry.Id_);
-  Departed_.erase(Entry.Id_);
   BackendServer &Current = Entries_[Entry.Id_];
   if (Current.StartedMs_ > Entry.StartedMs_)
     return false; // the new entry is of an earlier run of the server
   Missing_.erase(Entry.Id_);
+  // A removal of a later run stays known, because a restored list may contain that run.
+  const auto Removal = Departed_.find(Entry.Id_);
+  if (Removal != Departed_.end() && Removal->second.StartedMs_ <= Entry.StartedMs_)
+    Departed_.erase(Removal);
   if (Current.StartedMs_ == Entry.StartedMs_ && Current.Leaving_)
     Entry.Leaving_ = true;
   const bool Changed = !hasEqualFields(Current, Entry) || Current.Id_.empty();
@@ -45,12 +50,16 @@
 }
 
 void BackendDirectory::erase(TimePoint Now, const std::string &Id) {
-  Departed_[Id] = {Entries_.at(Id).StartedMs_, Now};
+  Departure &Removal = Departed_[Id];
+  Removal = {std::max(Removal.StartedMs_, Entries_.at(Id).StartedMs_), Now};
   Entries_.erase(Id);
   Missing_.erase(Id);
 }
 
 bool BackendDirectory::hasDeparted(const BackendServer &Entry) const {
+  const BackendServer *Current = find(Entry.Id_);
+  if (Current != nullptr && Current->StartedMs_ >= Entry.StartedMs_)
+    return false;
   const auto Found = Departed_.find(Entry.Id_);
   return Found != Departed_.end() && Found->second.StartedMs_ >= Entry.StartedMs_;
 }
--- a/tests/unit/backend_directory_test.cpp
+++ b/tests/unit/backend_directory_test.cpp
@@ -209,3 +209,19 @@
   CHECK(Directory_.expire(Now_ + milliseconds(2500)));
   CHECK_FALSE(isUsed("i-1"));
 }
+
+// Guards against calls to a removed run that is listed again after a restore, when an entry of an
+// earlier run was put in between.
+TEST_CASE_METHOD(DirectoryFixture, "directory_entry_of_earlier_run_keeps_removal_of_later_one") {
+  Directory_.put(makeServer("i-1", "10.0.0.1", 2));
+  Directory_.remove(Now_, "i-1", true);
+  Directory_.put(makeServer("i-1", "10.0.0.1", 1));
+  SECTION("still listed") {}
+  SECTION("removed too") { Directory_.remove(Now_, "i-1", true); }
+  restore(seconds(1), {makeServer("i-1", "10.0.0.1", 2)});
+  const BackendServer *Used = Directory_.find("i-1");
+  CHECK((Used == nullptr || Used->StartedMs_ == 1));
+  CHECK(Directory_.expire(Now_ + milliseconds(3500)));
+  REQUIRE(isUsed("i-1"));
+  CHECK(Directory_.find("i-1")->StartedMs_ == 2);
+}
