Hold removed servers back also when the list is read again

A server that had been removed before the platform was restored got calls as soon as the list was read a second time, instead of 2.5 s after the restore. A lost history of the watch, or a list taken over from a peer, leads to such a second reading.

Cause: replace() forgot all held back entries and held back only those of a listing that begins a new history.

Test: directory_held_entry_in_second_list_stays_held_back failed before.

Change: an entry that was held back and is listed again stays held back until the time set after the restore.

--- a/include/bronzestand/backend_directory.h
+++ b/include/bronzestand/backend_directory.h
@@ -40,7 +40,8 @@
   /// Replaces the whole list; entries that are missing from the new one are removed as in remove().
   /// \param NewHistory the platform lost its last changes, so the list may contain servers that
   /// were
-  ///        removed by one of them. These are held back until the list has had time to recover.
+  ///        removed by one of them. These are held back until the list has had time to recover,
+  ///        also if it is read again meanwhile.
   /// \return whether any entry changed or was removed.
   bool replace(TimePoint Now, std::vector<BackendServer> Entries, bool Trusted,
                bool NewHistory = false);
--- a/src/engine/backend_directory.cpp
+++ b/src/engine/backend_directory.cpp
@@ -1,6 +1,7 @@
 #include "bronzestand/backend_directory.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace bronzestand {
 namespace {
@@ -68,12 +69,14 @@
                                bool NewHistory) {
   std::set<std::string> Listed;
   bool Changed = false;
-  Held_.clear();
+  const auto HeldBefore = std::exchange(Held_, {});
   for (BackendServer &Entry : Entries) {
     Listed.insert(Entry.Id_);
-    if (NewHistory && hasDeparted(Entry)) {
+    const auto Before = HeldBefore.find(Entry.Id_);
+    if ((NewHistory || Before != HeldBefore.end()) && hasDeparted(Entry)) {
       const std::string Id = Entry.Id_;
-      Held_[Id] = {std::move(Entry), Now + RecoveryTime};
+      const TimePoint Until = NewHistory ? Now + RecoveryTime : Before->second.Until_;
+      Held_[Id] = {std::move(Entry), Until};
       continue;
     }
     Changed = put(std::move(Entry)) || Changed;
--- a/tests/unit/backend_directory_test.cpp
+++ b/tests/unit/backend_directory_test.cpp
@@ -225,3 +225,17 @@
   REQUIRE(isUsed("i-1"));
   CHECK(Directory_.find("i-1")->StartedMs_ == 2);
 }
+
+// Guards against an early return of a removed server when the list is read again after a restore,
+// as after a lost watch.
+TEST_CASE_METHOD(DirectoryFixture, "directory_held_entry_in_second_list_stays_held_back") {
+  const bool Trusted = GENERATE(true, false);
+  Directory_.put(makeServer("i-1", "10.0.0.1"));
+  Directory_.remove(Now_, "i-1", true);
+  restore(seconds(1), {makeServer("i-1", "10.0.0.1")});
+  CHECK_FALSE(
+      Directory_.replace(Now_ + seconds(2), {makeServer("i-1", "10.0.0.1")}, Trusted, false));
+  CHECK_FALSE(isUsed("i-1"));
+  CHECK(Directory_.expire(Now_ + milliseconds(3500)));
+  CHECK(isUsed("i-1"));
+}
