Keep a run leaving after its removal

A server that had announced its end, had left and had been removed got calls again when the platform was restored from a copy of before the announcement and its entry was still listed 2.5 s later, or put.

Cause: the memory of a removed run did not contain that it was leaving, so the run came back with the state in the copy.

Test: directory_removed_leaving_run_restored_as_ready_stays_leaving failed before in all four variants.

Change: the memory of a removal contains the mark, for a minute as before.

--- a/include/bronzestand/backend_directory.h
+++ b/include/bronzestand/backend_directory.h
@@ -28,7 +28,8 @@
 /// reliable is kept until the list has had time to recover. Design section 4.
 class BackendDirectory {
 public:
-  /// Adds or replaces an entry. A run of a server that is leaving stays so.
+  /// Adds or replaces an entry. A run of a server that is leaving stays so,
+  /// also after its removal.
   /// \return whether the entry is new or a field changed; false also for an entry of an earlier run
   ///         of the server, which does not replace the current one.
   bool put(BackendServer Entry);
@@ -69,6 +70,7 @@
   /// The latest run of a server that was removed.
   struct Departure {
     std::uint64_t StartedMs_ = 0;
+    bool Leaving_ = false; ///< it was leaving before
     TimePoint At_;
   };
   /// A listed entry that is not used until a time.
--- a/src/engine/backend_directory.cpp
+++ b/src/engine/backend_directory.cpp
@@ -1,6 +1,5 @@
 #include "bronzestand/backend_directory.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace bronzestand {
@@ -27,8 +26,11 @@
   Missing_.erase(Entry.Id_);
   // A removal of a later run stays known, because a restored list may contain that run.
   const auto Removal = Departed_.find(Entry.Id_);
-  if (Removal != Departed_.end() && Removal->second.StartedMs_ <= Entry.StartedMs_)
+  if (Removal != Departed_.end() && Removal->second.StartedMs_ <= Entry.StartedMs_) {
+    if (Removal->second.StartedMs_ == Entry.StartedMs_ && Removal->second.Leaving_)
+      Entry.Leaving_ = true;
     Departed_.erase(Removal);
+  }
   if (Current.StartedMs_ == Entry.StartedMs_ && Current.Leaving_)
     Entry.Leaving_ = true;
   const bool Changed = !hasEqualFields(Current, Entry) || Current.Id_.empty();
@@ -51,8 +53,11 @@
 }
 
 void BackendDirectory::erase(TimePoint Now, const std::string &Id) {
+  const BackendServer &Entry = Entries_.at(Id);
   Departure &Removal = Departed_[Id];
-  Removal = {std::max(Removal.StartedMs_, Entries_.at(Id).StartedMs_), Now};
+  if (Entry.StartedMs_ >= Removal.StartedMs_)
+    Removal = {Entry.StartedMs_, Entry.Leaving_, Now};
+  Removal.At_ = Now;
   Entries_.erase(Id);
   Missing_.erase(Id);
 }
--- a/tests/unit/backend_directory_test.cpp
+++ b/tests/unit/backend_directory_test.cpp
@@ -239,3 +239,17 @@
   CHECK(Directory_.expire(Now_ + milliseconds(3500)));
   CHECK(isUsed("i-1"));
 }
+
+// Guards against calls to a server that left, whose entry of before it began to leave is restored.
+TEST_CASE_METHOD(DirectoryFixture,
+                 "directory_removed_leaving_run_restored_as_ready_stays_leaving") {
+  Directory_.put(makeLeaving("i-1", "10.0.0.1"));
+  Directory_.remove(Now_, "i-1", GENERATE(true, false));
+  restore(seconds(1), {makeServer("i-1", "10.0.0.1")});
+  SECTION("still listed after the recovery time") {
+    CHECK(Directory_.expire(Now_ + milliseconds(3500)));
+  }
+  SECTION("put") { CHECK(Directory_.put(makeServer("i-1", "10.0.0.1"))); }
+  REQUIRE(isUsed("i-1"));
+  CHECK(Directory_.find("i-1")->Leaving_);
+}
