Keep missing servers for the whole time after another restore

When the platform was restored twice within 2.5 s, servers whose entries were lost were dropped 2.5 s after the first restore, although they need up to 2 s after the second one to write again.

Cause: the end of a kept entry was set by the first listing without it.

Test: directory_kept_entry_after_second_restore_is_kept_again failed before.

Change: a listing of a new history renews the end of all kept entries.

--- a/src/engine/backend_directory.cpp
+++ b/src/engine/backend_directory.cpp
@@ -92,6 +92,10 @@
       Absent.push_back(Id);
   for (const std::string &Id : Absent)
     Changed = remove(Now, Id, Trusted) || Changed;
+  // The servers whose entries were lost need the whole time again after another restore.
+  if (NewHistory)
+    for (auto &[Id, Until] : Missing_)
+      Until = Now + RecoveryTime;
   return Changed;
 }
 
--- a/tests/unit/backend_directory_test.cpp
+++ b/tests/unit/backend_directory_test.cpp
@@ -253,3 +253,14 @@
   REQUIRE(isUsed("i-1"));
   CHECK(Directory_.find("i-1")->Leaving_);
 }
+
+// Guards against the loss of live servers that a second restore gives no time to write again.
+TEST_CASE_METHOD(DirectoryFixture, "directory_kept_entry_after_second_restore_is_kept_again") {
+  Directory_.put(makeServer("i-1", "10.0.0.1"));
+  restore({}, {});
+  restore(seconds(2), {});
+  CHECK_FALSE(Directory_.expire(Now_ + milliseconds(4499)));
+  CHECK(isUsed("i-1"));
+  CHECK(Directory_.expire(Now_ + milliseconds(4500)));
+  CHECK_FALSE(isUsed("i-1"));
+}
