--- a/include/bronzestand/backend_directory.h
+++ b/include/bronzestand/backend_directory.h
@@ -28,7 +28,8 @@
 /// reliable is kept until the list has had time to recover. Design section 4.
 class BackendDirectory {
 public:
-  /// Adds or replaces an entry. A run of a server that is leaving stays so.
+  /// Adds or replaces an entry. A run of a server that is leaving stays so,
+  /// also after its removal.
   /// \return whether the entry is new or a field changed; false also for an entry of an earlier run
   ///         of the server, which does not replace the current one.
   bool put(BackendServer Entry);
@@ -40,7 +41,8 @@
   /// Replaces the whole list; entries that are missing from the new one are removed as in remove().
   /// \param NewHistory the platform lost its last changes, so the list may contain servers that
   /// were
-  ///        removed by one of them. These are held back until the list has had time to recover.
+  ///        removed by one of them. These are held back until the list has had time to recover,
+  ///        also if it is read again meanwhile.
   /// \return whether any entry changed or was removed.
   bool replace(TimePoint Now, std::vector<BackendServer> Entries, bool Trusted,
                bool NewHistory = false);
@@ -65,9 +67,10 @@
 
 private:
   std::map<std::string, BackendServer> Entries_;
-  /// A run of a server that was removed.
+  /// The latest run of a server that was removed.
   struct Departure {
     std::uint64_t StartedMs_ = 0;
+    bool Leaving_ = false; ///< it was leaving before
     TimePoint At_;
   };
   /// A listed entry that is not used until a time.
@@ -76,7 +79,7 @@
     TimePoint Until_;
   };
 
-  /// Tells whether the run of an entry was removed.
+  /// Tells whether the run of an entry, or a later one, was removed and is not used again.
   bool hasDeparted(const BackendServer &Entry) const;
   void erase(TimePoint Now, const std::string &Id);
 
--- a/src/engine/backend_directory.cpp
+++ b/src/engine/backend_directory.cpp
@@ -1,5 +1,7 @@
 #include "bronzestand/backend_directory.h"
 
+#include <utility>
+
 namespace bronzestand {
 namespace {
 
@@ -17,12 +19,18 @@
 } // namespace
 
 bool BackendDirectory::put(BackendServer Entry) {
-  Missing_.erase(Entry.Id_);
   Held_.erase(Entry.Id_);
-  Departed_.erase(Entry.Id_);
   BackendServer &Current = Entries_[Entry.Id_];
   if (Current.StartedMs_ > Entry.StartedMs_)
     return false; // the new entry is of an earlier run of the server
+  Missing_.erase(Entry.Id_);
+  // A removal of a later run stays known, because a restored list may contain that run.
+  const auto Removal = Departed_.find(Entry.Id_);
+  if (Removal != Departed_.end() && Removal->second.StartedMs_ <= Entry.StartedMs_) {
+    if (Removal->second.StartedMs_ == Entry.StartedMs_ && Removal->second.Leaving_)
+      Entry.Leaving_ = true;
+    Departed_.erase(Removal);
+  }
   if (Current.StartedMs_ == Entry.StartedMs_ && Current.Leaving_)
     Entry.Leaving_ = true;
   const bool Changed = !hasEqualFields(Current, Entry) || Current.Id_.empty();
@@ -45,12 +53,19 @@
 }
 
 void BackendDirectory::erase(TimePoint Now, const std::string &Id) {
-  Departed_[Id] = {Entries_.at(Id).StartedMs_, Now};
+  const BackendServer &Entry = Entries_.at(Id);
+  Departure &Removal = Departed_[Id];
+  if (Entry.StartedMs_ >= Removal.StartedMs_)
+    Removal = {Entry.StartedMs_, Entry.Leaving_, Now};
+  Removal.At_ = Now;
   Entries_.erase(Id);
   Missing_.erase(Id);
 }
 
 bool BackendDirectory::hasDeparted(const BackendServer &Entry) const {
+  const BackendServer *Current = find(Entry.Id_);
+  if (Current != nullptr && Current->StartedMs_ >= Entry.StartedMs_)
+    return false;
   const auto Found = Departed_.find(Entry.Id_);
   return Found != Departed_.end() && Found->second.StartedMs_ >= Entry.StartedMs_;
 }
@@ -59,12 +74,14 @@
                                bool NewHistory) {
   std::set<std::string> Listed;
   bool Changed = false;
-  Held_.clear();
+  const auto HeldBefore = std::exchange(Held_, {});
   for (BackendServer &Entry : Entries) {
     Listed.insert(Entry.Id_);
-    if (NewHistory && hasDeparted(Entry)) {
+    const auto Before = HeldBefore.find(Entry.Id_);
+    if ((NewHistory || Before != HeldBefore.end()) && hasDeparted(Entry)) {
       const std::string Id = Entry.Id_;
-      Held_[Id] = {std::move(Entry), Now + RecoveryTime};
+      const TimePoint Until = NewHistory ? Now + RecoveryTime : Before->second.Until_;
+      Held_[Id] = {std::move(Entry), Until};
       continue;
     }
     Changed = put(std::move(Entry)) || Changed;
@@ -75,6 +92,10 @@
       Absent.push_back(Id);
   for (const std::string &Id : Absent)
     Changed = remove(Now, Id, Trusted) || Changed;
+  // The servers whose entries were lost need the whole time again after another restore.
+  if (NewHistory)
+    for (auto &[Id, Until] : Missing_)
+      Until = Now + RecoveryTime;
   return Changed;
 }
 
