Accept "not run" only from an answer that names the request

Callers saw 503 or 429 ("not run, try again") for requests that a faulty backend server was running: it had written an earlier refusal once more on a kept connection. The retry could run a second time.

Cause: BackendGate took any response with the header of "not run", and any 421, as a refusal of the waiting request. The client dropped answers with another id, but not those without an id. A copy that bears the id of the waiting request is possible too, as a request that was refused and is sent again to the same server keeps its id and could use the same connection.

Change: a refusal counts only if it has the header of "not run" and repeats the id of the request; otherwise the outcome is unknown. A connection is not kept after an answer without an id. A connection that carried a refusal is not used for a request with the same id, so a copy with the id of the waiting request can't have been written before the server saw this attempt. A connection with 16 refusals is closed, which bounds the memory for the ids.

--- a/src/mesh/backend_gate.cpp
+++ b/src/mesh/backend_gate.cpp
@@ -177,6 +177,7 @@
   SendOptions Options;
   Options.MaxIdle_ = Current.Call_.Idempotent_ ? MaxIdleTimeIdempotent : MaxIdleTime;
   Options.EchoHeader_ = Names_.RequestId_;
+  Options.NotRunHeader_ = Names_.NotRun_;
   Options.EndsByClose_ = true;
   Current.Request_ = Client_.send(
       std::move(Request), Left,
@@ -186,12 +187,21 @@
       {}, std::move(Options));
 }
 
+bool BackendGate::isNamed(const Call &Request, const HttpResponse &Response) const {
+  return findHeader(Response.Headers_, Names_.RequestId_) == Request.Request_.str();
+}
+
 // A successful response is accepted only with the signature header of a backend server and the id
 // of the request.
 bool BackendGate::isFromServer(const Call &Request, const HttpResponse &Response) const {
-  const auto Id = findHeader(Response.Headers_, Names_.RequestId_);
-  return findHeader(Response.Headers_, Names_.Signature_).has_value() && Id &&
-         *Id == Request.Request_.str();
+  return findHeader(Response.Headers_, Names_.Signature_).has_value() && isNamed(Request, Response);
+}
+
+// A refusal without the id of the request may be a copy of an earlier one, while the server runs
+// the request. The id proves that the server has seen this request, because the client does not use
+// a connection again for a request that was refused there.
+bool BackendGate::isRefusal(const Call &Request, const HttpResponse &Response) const {
+  return findHeader(Response.Headers_, Names_.NotRun_).has_value() && isNamed(Request, Response);
 }
 
 Answer BackendGate::toAnswer(const Call &Request, HttpResult Result, HttpResponse &&Response) {
@@ -206,9 +216,9 @@
   case HttpResult::Answered:
     break;
   }
-  if (Response.Status_ == 421)
-    return Answer::refused(Request.Id_, Refusal::WrongBackend);
-  if (findHeader(Response.Headers_, Names_.NotRun_)) {
+  if (isRefusal(Request, Response)) {
+    if (Response.Status_ == 421)
+      return Answer::refused(Request.Id_, Refusal::WrongBackend);
     ReducedSlots_ = std::min(ReducedSlots_ + ReduceStep, MaxReducedShare * limit());
     return Answer::refused(Request.Id_, Refusal::BackendRejected);
   }
@@ -216,7 +226,8 @@
   if (!Signed)
     Events_.write(now(), EventClass::Decision, "backend_gate", "answer_unsigned",
                   {{"request", Request.Request_.str()}, {"status", Response.Status_}});
-  if (Response.Status_ < 400 && !Signed)
+  if (!Signed && (Response.Status_ < 400 || Response.Status_ == 421 ||
+                  findHeader(Response.Headers_, Names_.NotRun_)))
     return Answer::refused(Request.Id_, Refusal::ConnectionLost);
   Answer Done;
   Done.Id_ = Request.Id_;
--- a/src/mesh/backend_gate.h
+++ b/src/mesh/backend_gate.h
@@ -66,6 +66,9 @@
   void send(const CallKey &Key);
   void onResult(const CallKey &Key, HttpResult Result, HttpResponse Response);
   Answer toAnswer(const Call &Request, HttpResult Result, HttpResponse &&Response);
+  /// Tells whether a response repeats the id of the request.
+  bool isNamed(const Call &Request, const HttpResponse &Response) const;
+  bool isRefusal(const Call &Request, const HttpResponse &Response) const;
   bool isFromServer(const Call &Request, const HttpResponse &Response) const;
   void finish(const CallKey &Key, Answer Result);
   void expire();
--- a/src/node/http_client.cpp
+++ b/src/node/http_client.cpp
@@ -35,6 +35,8 @@
 
 /// Answers that belong to earlier requests and are dropped before a connection is given up.
 constexpr int MaxForeignAnswers = 3;
+/// Refused requests that a kept connection remembers; a bound on its memory.
+constexpr std::size_t MaxRefusedIds = 16;
 /// Interim answers before a connection is given up.
 constexpr int MaxInterimAnswers = 16;
 /// A kept connection is given up this long before the server's own limit.
@@ -53,6 +55,13 @@
   return std::chrono::seconds(Seconds);
 }
 
+/// Value of the header that the answer to a request must repeat; empty if there is none.
+std::string echoValue(const HttpRequest &Request, const SendOptions &Options) {
+  if (Options.EchoHeader_.empty())
+    return {};
+  return findHeader(Request.Headers_, Options.EchoHeader_).value_or("");
+}
+
 /// Seconds of silence before the first probe, between probes, and probes before the connection
 /// ends.
 constexpr int ProbeIdleS = 1;
@@ -80,6 +89,10 @@
   /// Tells whether the connection can't carry another request.
   bool isStale();
   bool wasIdleFor(Duration Limit) const { return Clock::now() - Freed_ > Limit; }
+  /// Tells whether the server refused a request with this value of the echo header here.
+  bool hasRefused(const std::string &Id) const {
+    return std::find(RefusedIds_.begin(), RefusedIds_.end(), Id) != RefusedIds_.end();
+  }
   void forget() { OnFree_ = nullptr; }
 
 private:
@@ -103,6 +116,7 @@
   HttpClient::MayWrite MayWrite_;
   SendOptions Options_;
   std::string EchoValue_;
+  std::vector<std::string> RefusedIds_; ///< values of the echo header
   std::uint64_t Run_ = 0; ///< number of the request, so that handlers of an earlier one are ignored
   int Foreign_ = 0;
   int Interim_ = 0;
@@ -119,7 +133,7 @@
   Callback_ = std::move(Callback);
   MayWrite_ = std::move(Check);
   Options_ = std::move(Options);
-  EchoValue_.clear();
+  EchoValue_ = echoValue(Request, Options_);
   Sent_ = Written_ = false;
   Foreign_ = Interim_ = 0;
   const std::uint64_t Run = ++Run_;
@@ -132,8 +146,6 @@
     if (isHopByHop(Field.Name_))
       continue;
     HasHost = HasHost || sameName(Field.Name_, "Host");
-    if (!Options_.EchoHeader_.empty() && sameName(Field.Name_, Options_.EchoHeader_))
-      EchoValue_ = Field.Value_;
     Request_->insert(Field.Name_, Field.Value_);
   }
   if (!HasHost)
@@ -249,8 +261,14 @@
   bool Reusable = false;
   if (Result == HttpResult::Answered) {
     auto Message = Parser_->release();
+    // An answer that does not name the request may belong to another one, so that the answer to
+    // this one may follow.
+    const bool Named = EchoValue_.empty() || Message.count(Options_.EchoHeader_) != 0;
+    if (!Options_.NotRunHeader_.empty() && Message.count(Options_.NotRunHeader_) != 0)
+      RefusedIds_.push_back(EchoValue_);
     // Bytes behind the answer belong to no request.
-    Reusable = Message.keep_alive() && Written_ && Foreign_ == 0 && Buffer_.size() == 0;
+    Reusable = Message.keep_alive() && Written_ && Named && Foreign_ == 0 && Buffer_.size() == 0 &&
+               RefusedIds_.size() < MaxRefusedIds;
     if (const auto Kept = keepAliveOf(Message[http::field::keep_alive]))
       KeptUntil_ = Clock::now() + *Kept - KeepAliveMargin;
     Response.Status_ = Message.result_int();
@@ -283,7 +301,7 @@
   RequestNumber send(HttpRequest Request, Duration Timeout, HttpCallback Callback, MayWrite Check,
                      SendOptions Options) {
     const RequestNumber Number = ++LastNumber_;
-    const auto Item = takeConnection(Options.MaxIdle_);
+    const auto Item = takeConnection(Options.MaxIdle_, echoValue(Request, Options));
     if (!Item) {
       asio::post(Io_, [Callback = std::move(Callback)] { Callback(HttpResult::NotSent, {}); });
       return Number;
@@ -317,11 +335,13 @@
 private:
   using ConnectionPtr = boost::intrusive_ptr<Connection>;
 
-  ConnectionPtr takeConnection(Duration MaxIdle) {
+  ConnectionPtr takeConnection(Duration MaxIdle, const std::string &Id) {
     // The connection at the back was used last.
-    while (!Idle_.empty() && !Idle_.back()->wasIdleFor(MaxIdle)) {
-      ConnectionPtr Item = std::move(Idle_.back());
-      Idle_.pop_back();
+    for (std::size_t Index = Idle_.size(); Index-- > 0 && !Idle_[Index]->wasIdleFor(MaxIdle);) {
+      if (Idle_[Index]->hasRefused(Id))
+        continue;
+      ConnectionPtr Item = std::move(Idle_[Index]);
+      Idle_.erase(Idle_.begin() + static_cast<std::ptrdiff_t>(Index));
       if (!Item->isStale())
         return Item;
     }
--- /dev/null
+++ b/tests/unit/backend_gate_test.cpp
@@ -0,0 +1,169 @@
+#include <deque>
+
+#include <boost/algorithm/string/replace.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+
+#include "mesh_fixture.h"
+
+using namespace bronzestand;
+using boost::asio::ip::tcp;
+
+namespace {
+
+const std::string Host = "127.0.0.2";
+
+/// What the backend server writes for one request; "{id}" stands for the id of the request.
+struct Reply {
+  std::string Text_;
+  bool Close_ = false;
+};
+
+const std::string Served = "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Signature: s1\r\n"
+                           "Content-Length: 3\r\n\r\nyes";
+
+/// An answer with an empty body; no header of the id if the id is empty.
+std::string answer(unsigned Status, const std::string &Id, const std::string &More) {
+  return "HTTP/1.1 " + std::to_string(Status) + " Status\r\n" +
+         (Id.empty() ? "" : "Request-Id: " + Id + "\r\n") + More + "Content-Length: 0\r\n\r\n";
+}
+
+std::string refusal(unsigned Status, const std::string &Id) {
+  return answer(Status, Id, "Not-Executed: 1\r\n");
+}
+
+/// A node with a scripted backend server, which serves requests once its script has ended. A
+/// request on the route "/w/" must not run twice.
+struct GateFixture : MeshFixture {
+  tcp::acceptor Acceptor_{Io_, {boost::asio::ip::make_address(Host), BackendPort_}};
+  std::deque<Reply> Replies_;
+  std::string CopyOnReuse_;           ///< written before each answer but the first on a connection
+  std::vector<std::string> Requests_; ///< ids of the requests that arrived
+  int Accepted_ = 0;
+
+  struct Connection {
+    explicit Connection(tcp::socket Socket) : Socket_(std::move(Socket)) {}
+    tcp::socket Socket_;
+    std::string Input_;
+    std::string Output_;
+    int Answered_ = 0;
+  };
+
+  GateFixture() {
+    accept();
+    putServer(Store_, "i-1", Host);
+    putConfig(Store_, 3, {"/w/"}, "unsafe");
+    startNode(Host);
+    REQUIRE(runUntil([&] { return statusOf(Host, "/other/") == 404; }));
+  }
+
+  void accept() {
+    Acceptor_.async_accept([this](boost::system::error_code Failure, tcp::socket Socket) {
+      if (Failure)
+        return;
+      ++Accepted_;
+      serve(std::make_shared<Connection>(std::move(Socket)));
+      accept();
+    });
+  }
+  void serve(const std::shared_ptr<Connection> &Item) {
+    boost::asio::async_read_until(
+        Item->Socket_, boost::asio::dynamic_buffer(Item->Input_), "\r\n\r\n",
+        [this, Item](boost::system::error_code Failure, std::size_t Size) {
+          if (!Failure)
+            reply(Item, Size);
+        });
+  }
+  void reply(const std::shared_ptr<Connection> &Item, std::size_t Size) {
+    const std::string Name = "Request-Id: ";
+    const std::size_t Start = Item->Input_.find(Name) + Name.size();
+    const std::string Id = Item->Input_.substr(Start, Item->Input_.find("\r\n", Start) - Start);
+    Item->Input_.erase(0, Size);
+    Requests_.push_back(Id);
+    Reply Next{Served};
+    if (!Replies_.empty()) {
+      Next = Replies_.front();
+      Replies_.pop_front();
+    }
+    Item->Output_ = (Item->Answered_++ > 0 ? CopyOnReuse_ : "") + Next.Text_;
+    boost::replace_all(Item->Output_, "{id}", Id);
+    boost::asio::async_write(Item->Socket_, boost::asio::buffer(Item->Output_),
+                             [this, Item, Next](boost::system::error_code, std::size_t) {
+                               if (Next.Close_)
+                                 Item->Socket_.close();
+                               else
+                                 serve(Item);
+                             });
+  }
+
+  /// Sends a request that must not run twice and returns the status of its answer.
+  unsigned post(const std::string &Id) {
+    node::HttpClient Client(Io_, {Host, CallerPort_}, 1);
+    node::HttpRequest Request;
+    Request.Method_ = "POST";
+    Request.Target_ = "/w/" + Id;
+    Request.Headers_ = {{"Host", "a.example"}, {"Request-Id", Id}, {"Deadline-Ms", "1000"}};
+    std::optional<unsigned> Status;
+    Client.send(std::move(Request), std::chrono::seconds(3),
+                [&](node::HttpResult Result, const node::HttpResponse &Response) {
+                  Status = Result == node::HttpResult::Answered ? Response.Status_ : 0;
+                });
+    runUntil([&] { return Status.has_value(); });
+    return Status.value_or(0);
+  }
+};
+
+} // namespace
+
+// Guards against a request that is reported as not run, or run again, after a refusal that does
+// not name it.
+TEST_CASE_METHOD(GateFixture, "backend_gate_refusal_without_id_is_unknown") {
+  const std::string Text = GENERATE(refusal(503, ""), refusal(429, ""), refusal(421, ""),
+                                    refusal(400, ""), answer(421, "", ""));
+  INFO(Text);
+  Replies_ = {{Text}};
+  CHECK(post("a") == 502);
+  CHECK(Requests_ == std::vector<std::string>{"a"});
+  // The answer to the request may still follow on that connection.
+  CHECK(post("b") == 200);
+  CHECK(Accepted_ == 2);
+}
+
+// Guards against a 421 that is reported as not run although the server does not say so.
+TEST_CASE_METHOD(GateFixture, "backend_gate_421_without_not_run_header_is_unknown") {
+  Replies_ = {{answer(421, "{id}", "")}};
+  CHECK(post("a") == 502);
+  CHECK(Requests_ == std::vector<std::string>{"a"});
+}
+
+// Guards against the refusal of an earlier request that is taken for the present one's.
+TEST_CASE_METHOD(GateFixture, "backend_gate_refusal_of_other_request_is_dropped") {
+  CopyOnReuse_ = refusal(503, "a");
+  CHECK(post("a") == 200);
+  CHECK(post("b") == 200);
+  CHECK(Requests_ == std::vector<std::string>{"a", "b"});
+  CHECK(Accepted_ == 1);
+}
+
+// Guards against a request that runs twice, because the copy of the refusal of its first attempt
+// is taken for the answer to the second.
+TEST_CASE_METHOD(GateFixture, "backend_gate_copied_refusal_does_not_answer_next_attempt") {
+  const unsigned Status = GENERATE(503, 429, 421);
+  INFO(Status);
+  CopyOnReuse_ = refusal(Status, "{id}");
+  Replies_ = {{refusal(Status, "{id}")}};
+  CHECK(post("a") == 503);
+  CHECK(post("a") == 200);
+  CHECK(Requests_ == std::vector<std::string>{"a", "a"});
+  CHECK(Accepted_ == 2);
+}
+
+// Guards against a refusal that names its request and is not believed.
+TEST_CASE_METHOD(GateFixture, "backend_gate_refusal_with_id_on_kept_connection_is_believed") {
+  Replies_ = {{Served}, {refusal(503, "{id}")}};
+  CHECK(post("a") == 200);
+  CHECK(post("b") == 503);
+  CHECK(Requests_ == std::vector<std::string>{"a", "b"});
+  CHECK(Accepted_ == 1);
+}
--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -90,13 +90,16 @@
             sendEndless(Item, Text);
         });
   }
-  std::pair<HttpResult, std::string> request(const std::string &Id, bool EndsByClose = false) {
+  std::pair<HttpResult, std::string> request(const std::string &Id, bool EndsByClose = false,
+                                             const std::string &Body = "") {
     HttpRequest Request;
     Request.Method_ = "GET";
     Request.Target_ = "/";
     Request.Headers_ = {{"Request-Id", Id}};
+    Request.Body_ = Body;
     SendOptions Options;
     Options.EchoHeader_ = "Request-Id";
+    Options.NotRunHeader_ = "Not-Run";
     Options.EndsByClose_ = EndsByClose;
     std::optional<std::pair<HttpResult, std::string>> End;
     Client_.send(
@@ -125,6 +128,51 @@
   CHECK(Accepted_ == 2);
 }
 
+// Guards against a refusal that the server sends once more and that is taken for the answer to the
+// next attempt, which bears the same id.
+TEST_CASE_METHOD(ClientFixture, "client_refused_id_takes_another_connection") {
+  const std::string Refusal =
+      "HTTP/1.1 503 Busy\r\nRequest-Id: a\r\nNot-Run: 1\r\nContent-Length: 4\r\n\r\nbusy";
+  Replies_ = {{Refusal}, {answerTo("b", "two")}, {answerTo("a", "one")}, {answerTo("c", "three")}};
+  CHECK(request("a").second == "busy");
+  CHECK(request("b").second == "two");
+  CHECK(Accepted_ == 1);
+  CHECK(request("a").second == "one");
+  CHECK(Accepted_ == 2);
+  CHECK(request("c").second == "three");
+  CHECK(Accepted_ == 2);
+}
+
+// Guards against memory that grows with the refusals on one connection.
+TEST_CASE_METHOD(ClientFixture, "client_connection_with_many_refusals_is_not_kept") {
+  constexpr int Requests = 40;
+  for (int Index = 0; Index < Requests; ++Index) {
+    const std::string Id = std::to_string(Index);
+    Replies_ = {
+        {"HTTP/1.1 503 Busy\r\nRequest-Id: " + Id + "\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"}};
+    CHECK(request(Id).first == HttpResult::Answered);
+  }
+  CHECK(Accepted_ > 1);
+  CHECK(Accepted_ < 5);
+}
+
+// Guards against an answer without an id, after which the answer to the same request may follow.
+TEST_CASE_METHOD(ClientFixture, "client_answer_without_id_ends_the_connection") {
+  Replies_ = {{"HTTP/1.1 503 Busy\r\nContent-Length: 4\r\n\r\nbusy"}, {answerTo("b", "two")}};
+  CHECK(request("a").second == "busy");
+  CHECK(request("b").second == "two");
+  CHECK(Accepted_ == 2);
+}
+
+// Guards against a connection that is kept although the server has not read the whole request; a
+// server that refused it can't run it later.
+TEST_CASE_METHOD(ClientFixture, "client_answer_to_unfinished_request_ends_the_connection") {
+  Replies_ = {{answerTo("a", "early")}, {answerTo("b", "two")}};
+  CHECK(request("a", false, std::string(MaxEndlessBytes, 'x')).second == "early");
+  CHECK(request("b").second == "two");
+  CHECK(Accepted_ == 2);
+}
+
 // Guards against bytes behind an answer that become the start of the next one.
 TEST_CASE_METHOD(ClientFixture, "client_bytes_behind_an_answer_end_the_connection") {
   Replies_ = {{answerTo("a", "one") + "garbage"}, {answerTo("b", "two")}};
--- a/tests/unit/mesh_fixture.h
+++ b/tests/unit/mesh_fixture.h
@@ -71,10 +71,11 @@
   }
   /// Stores a configuration with routes of the host name "a.example" that need no key.
   static void putConfig(standin::PlatformStore &Store, std::uint64_t Version,
-                        const std::vector<std::string> &Prefixes) {
+                        const std::vector<std::string> &Prefixes,
+                        const std::string &Kind = "safe") {
     json Rows = json::array();
     for (const std::string &Prefix : Prefixes)
-      Rows.push_back({"r" + Prefix, "a.example", Prefix, "safe", "s", true});
+      Rows.push_back({"r" + Prefix, "a.example", Prefix, Kind, "s", true});
     Store.put("op/config",
               json{{"Version", Version},
                    {"Routes",
