Withhold unsigned error answers of any status

Callers saw a 404, 500 or another error that no backend server had made: an answer without the signature header, or without the id of the request, was passed on with its status. After a 404 a caller does not try again, and 429 and 503 promise that the request did not run.

Cause: BackendGate checked the signature and the id only for statuses below 400.

Change: an answer of any status needs both; otherwise the outcome is connection_lost, as the request may have run. The log line answer_unsigned stays.

Evidence: backend_gate_unsigned_answer_of_any_status_is_unknown failed before the change for 14 of its 18 combinations (all with 400, 404, 408, 429, 500, 503 and 504) and passes now. backend_gate_signed_error_is_passed_on passes before and after.

--- a/src/mesh/backend_gate.cpp
+++ b/src/mesh/backend_gate.cpp
@@ -191,8 +191,9 @@
   return findHeader(Response.Headers_, Names_.RequestId_) == Request.Request_.str();
 }
 
-// A successful response is accepted only with the signature header of a backend server and the id
-// of the request.
+// A response of any status is passed on only with the signature header of a backend server and the
+// id of the request. Without them it may be of another server at the address, or belong to another
+// request, and a caller that trusts an error such as 404 would not try again.
 bool BackendGate::isFromServer(const Call &Request, const HttpResponse &Response) const {
   return findHeader(Response.Headers_, Names_.Signature_).has_value() && isNamed(Request, Response);
 }
@@ -222,13 +223,11 @@
     ReducedSlots_ = std::min(ReducedSlots_ + ReduceStep, MaxReducedShare * limit());
     return Answer::refused(Request.Id_, Refusal::BackendRejected);
   }
-  const bool Signed = isFromServer(Request, Response);
-  if (!Signed)
+  if (!isFromServer(Request, Response)) {
     Events_.write(now(), EventClass::Decision, "backend_gate", "answer_unsigned",
                   {{"request", Request.Request_.str()}, {"status", Response.Status_}});
-  if (!Signed && (Response.Status_ < 400 || Response.Status_ == 421 ||
-                  findHeader(Response.Headers_, Names_.NotRun_)))
     return Answer::refused(Request.Id_, Refusal::ConnectionLost);
+  }
   Answer Done;
   Done.Id_ = Request.Id_;
   Done.Outcome_ = Outcome::Served;
--- a/tests/unit/backend_gate_test.cpp
+++ b/tests/unit/backend_gate_test.cpp
@@ -167,3 +167,20 @@
   CHECK(Requests_ == std::vector<std::string>{"a", "b"});
   CHECK(Accepted_ == 1);
 }
+
+// Guards against an answer that is passed on although its backend server did not make it.
+TEST_CASE_METHOD(GateFixture, "backend_gate_unsigned_answer_of_any_status_is_unknown") {
+  const unsigned Status = GENERATE(200, 302, 400, 404, 408, 429, 500, 503, 504);
+  const bool Named = GENERATE(true, false);
+  INFO(Status << (Named ? " without signature" : " without id"));
+  Replies_ = {{Named ? answer(Status, "{id}", "") : answer(Status, "", "Server-Signature: s\r\n")}};
+  CHECK(post("a") == 502);
+  CHECK(Requests_ == std::vector<std::string>{"a"});
+}
+
+// Guards against an error answer of a backend server that is withheld.
+TEST_CASE_METHOD(GateFixture, "backend_gate_signed_error_is_passed_on") {
+  const unsigned Status = GENERATE(404, 500, 504);
+  Replies_ = {{answer(Status, "{id}", "Server-Signature: s\r\n")}};
+  CHECK(post("a") == Status);
+}
