Show that answers that are cut short are never passed on as whole

An operator reported answers with status 200 and an empty or short body after a backend server had stopped in the middle of its answer's head. This was not found here: the client treats an answer that ends inside its head, inside a body with a length or in chunks, or with a reset, as lost, also if its server may end answers by closing.

Evidence: the new tests passed without a change to the sources. They cut an answer with a length and one in chunks at each byte, with a close and with a reset; reset an answer without a length; and cut the head of a backend server's answer behind a whole node, whose caller gets 502.

--- a/tests/unit/backend_gate_test.cpp
+++ b/tests/unit/backend_gate_test.cpp
@@ -184,3 +184,14 @@
   Replies_ = {{answer(Status, "{id}", "Server-Signature: s\r\n")}};
   CHECK(post("a") == Status);
 }
+
+// Guards against an answer whose head is cut short and that is passed on as a whole one.
+TEST_CASE_METHOD(GateFixture, "backend_gate_answer_cut_in_its_head_is_unknown") {
+  const std::size_t Left =
+      GENERATE_COPY(Served.find("\r\n") + 2, Served.find("Server-Signature"),
+                    Served.find("Content-Length"), Served.find("\r\n\r\n") + 2);
+  INFO(Served.substr(0, Left));
+  Replies_ = {{Served.substr(0, Left), true}};
+  CHECK(post("a") == 502);
+  CHECK(Requests_ == std::vector<std::string>{"a"});
+}
--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -22,6 +22,7 @@
   std::string Text_;
   bool Close_ = false;
   std::string Endless_ = {}; ///< sent again and again after the text, until the client closes
+  bool Reset_ = false;       ///< with Close_: reset the connection instead
 };
 
 std::string answerTo(const std::string &Id, const std::string &Body) {
@@ -69,6 +70,9 @@
           Item->Output_ = Next.Text_;
           boost::asio::async_write(Item->Socket_, boost::asio::buffer(Item->Output_),
                                    [this, Item, Next](boost::system::error_code, std::size_t) {
+                                     if (Next.Reset_)
+                                       Item->Socket_.set_option(
+                                           boost::asio::socket_base::linger(true, 0));
                                      if (Next.Close_)
                                        Item->Socket_.close();
                                      else if (!Next.Endless_.empty())
@@ -208,6 +212,31 @@
   CHECK(request("a", true) == std::make_pair(HttpResult::Answered, std::string("abc")));
 }
 
+// Guards against an answer that ends inside its head, or inside a body whose end is marked, and is
+// taken as whole because its server ends answers by closing.
+TEST_CASE_METHOD(ClientFixture, "client_answer_cut_at_any_byte_is_lost") {
+  const std::string Open = "HTTP/1.1 200 OK\r\nRequest-Id: a\r\n";
+  for (const std::string &Whole :
+       {answerTo("a", "one"), Open + "Transfer-Encoding: chunked\r\n\r\n3\r\none\r\n0\r\n\r\n"}) {
+    for (std::size_t Left = 0; Left < Whole.size(); ++Left) {
+      INFO(Whole.substr(0, Left));
+      for (const bool Reset : {false, true}) {
+        Replies_ = {{Whole.substr(0, Left), true, "", Reset}};
+        CHECK(request("a", true).first == HttpResult::Lost);
+      }
+    }
+  }
+}
+
+// Guards against an answer without a length that is taken as whole after a reset.
+TEST_CASE_METHOD(ClientFixture, "client_answer_without_length_ended_by_reset_is_lost") {
+  const std::string Open = "HTTP/1.1 200 OK\r\nRequest-Id: a\r\n\r\n";
+  for (const std::string Body : {"", "abc"}) {
+    Replies_ = {{Open + Body, true, "", true}};
+    CHECK(request("a", true).first == HttpResult::Lost);
+  }
+}
+
 // Guards against a request that waits for ever on a silent server.
 TEST_CASE_METHOD(ClientFixture, "client_silent_server_times_out") {
   Replies_ = {{""}};
