--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -22,6 +22,7 @@
   std::string Text_;
   bool Close_ = false;
   std::string Endless_ = {}; ///< sent again and again after the text, until the client closes
+  bool Reset_ = false;       ///< with Close_: reset the connection instead
 };
 
 std::string answerTo(const std::string &Id, const std::string &Body) {
@@ -69,6 +70,9 @@
           Item->Output_ = Next.Text_;
           boost::asio::async_write(Item->Socket_, boost::asio::buffer(Item->Output_),
                                    [this, Item, Next](boost::system::error_code, std::size_t) {
+                                     if (Next.Reset_)
+                                       Item->Socket_.set_option(
+                                           boost::asio::socket_base::linger(true, 0));
                                      if (Next.Close_)
                                        Item->Socket_.close();
                                      else if (!Next.Endless_.empty())
@@ -90,13 +94,16 @@
             sendEndless(Item, Text);
         });
   }
-  std::pair<HttpResult, std::string> request(const std::string &Id, bool EndsByClose = false) {
+  std::pair<HttpResult, std::string> request(const std::string &Id, bool EndsByClose = false,
+                                             const std::string &Body = "") {
     HttpRequest Request;
     Request.Method_ = "GET";
     Request.Target_ = "/";
     Request.Headers_ = {{"Request-Id", Id}};
+    Request.Body_ = Body;
     SendOptions Options;
     Options.EchoHeader_ = "Request-Id";
+    Options.NotRunHeader_ = "Not-Run";
     Options.EndsByClose_ = EndsByClose;
     std::optional<std::pair<HttpResult, std::string>> End;
     Client_.send(
@@ -125,6 +132,51 @@
   CHECK(Accepted_ == 2);
 }
 
+// Guards against a refusal that the server sends once more and that is taken for the answer to the
+// next attempt, which bears the same id.
+TEST_CASE_METHOD(ClientFixture, "client_refused_id_takes_another_connection") {
+  const std::string Refusal =
+      "HTTP/1.1 503 Busy\r\nRequest-Id: a\r\nNot-Run: 1\r\nContent-Length: 4\r\n\r\nbusy";
+  Replies_ = {{Refusal}, {answerTo("b", "two")}, {answerTo("a", "one")}, {answerTo("c", "three")}};
+  CHECK(request("a").second == "busy");
+  CHECK(request("b").second == "two");
+  CHECK(Accepted_ == 1);
+  CHECK(request("a").second == "one");
+  CHECK(Accepted_ == 2);
+  CHECK(request("c").second == "three");
+  CHECK(Accepted_ == 2);
+}
+
+// Guards against memory that grows with the refusals on one connection.
+TEST_CASE_METHOD(ClientFixture, "client_connection_with_many_refusals_is_not_kept") {
+  constexpr int Requests = 40;
+  for (int Index = 0; Index < Requests; ++Index) {
+    const std::string Id = std::to_string(Index);
+    Replies_ = {
+        {"HTTP/1.1 503 Busy\r\nRequest-Id: " + Id + "\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"}};
+    CHECK(request(Id).first == HttpResult::Answered);
+  }
+  CHECK(Accepted_ > 1);
+  CHECK(Accepted_ < 5);
+}
+
+// Guards against an answer without an id, after which the answer to the same request may follow.
+TEST_CASE_METHOD(ClientFixture, "client_answer_without_id_ends_the_connection") {
+  Replies_ = {{"HTTP/1.1 503 Busy\r\nContent-Length: 4\r\n\r\nbusy"}, {answerTo("b", "two")}};
+  CHECK(request("a").second == "busy");
+  CHECK(request("b").second == "two");
+  CHECK(Accepted_ == 2);
+}
+
+// Guards against a connection that is kept although the server has not read the whole request; a
+// server that refused it can't run it later.
+TEST_CASE_METHOD(ClientFixture, "client_answer_to_unfinished_request_ends_the_connection") {
+  Replies_ = {{answerTo("a", "early")}, {answerTo("b", "two")}};
+  CHECK(request("a", false, std::string(MaxEndlessBytes, 'x')).second == "early");
+  CHECK(request("b").second == "two");
+  CHECK(Accepted_ == 2);
+}
+
 // Guards against bytes behind an answer that become the start of the next one.
 TEST_CASE_METHOD(ClientFixture, "client_bytes_behind_an_answer_end_the_connection") {
   Replies_ = {{answerTo("a", "one") + "garbage"}, {answerTo("b", "two")}};
@@ -160,6 +212,31 @@
   CHECK(request("a", true) == std::make_pair(HttpResult::Answered, std::string("abc")));
 }
 
+// Guards against an answer that ends inside its head, or inside a body whose end is marked, and is
+// taken as whole because its server ends answers by closing.
+TEST_CASE_METHOD(ClientFixture, "client_answer_cut_at_any_byte_is_lost") {
+  const std::string Open = "HTTP/1.1 200 OK\r\nRequest-Id: a\r\n";
+  for (const std::string &Whole :
+       {answerTo("a", "one"), Open + "Transfer-Encoding: chunked\r\n\r\n3\r\none\r\n0\r\n\r\n"}) {
+    for (std::size_t Left = 0; Left < Whole.size(); ++Left) {
+      INFO(Whole.substr(0, Left));
+      for (const bool Reset : {false, true}) {
+        Replies_ = {{Whole.substr(0, Left), true, "", Reset}};
+        CHECK(request("a", true).first == HttpResult::Lost);
+      }
+    }
+  }
+}
+
+// Guards against an answer without a length that is taken as whole after a reset.
+TEST_CASE_METHOD(ClientFixture, "client_answer_without_length_ended_by_reset_is_lost") {
+  const std::string Open = "HTTP/1.1 200 OK\r\nRequest-Id: a\r\n\r\n";
+  for (const std::string Body : {"", "abc"}) {
+    Replies_ = {{Open + Body, true, "", true}};
+    CHECK(request("a", true).first == HttpResult::Lost);
+  }
+}
+
 // Guards against a request that waits for ever on a silent server.
 TEST_CASE_METHOD(ClientFixture, "client_silent_server_times_out") {
   Replies_ = {{""}};
