Compile the test of the platform's decoder again

The test reads the revision of a page from StorePage::Revision_, which became part of Position_, so platform_decode_test did not compile and none of its cases ran. With the member renamed, all six cases pass.

--- a/tests/unit/platform_decode_test.cpp
+++ b/tests/unit/platform_decode_test.cpp
@@ -137,7 +137,7 @@
                    {"Key":"servers/i-3","Rev":6,"Removed":true}],"MorePages":true,"CurrentRev":9})");
   REQUIRE(Page.ok());
   CHECK(Page->More_);
-  CHECK(Page->Revision_ == 9);
+  CHECK(Page->Position_.Revision_ == 9);
   REQUIRE(Page->Items_.size() == 2);
   CHECK(Page->Items_[0].Value_ == "{}");
   CHECK(Page->Items_[1].Removed_);
