Refuse entries of servers with numbers out of range

One entry written by another program with a 'born' far in the future made nodes ignore all later entries of that id, because an entry of an earlier start does not replace a later one.

decodeServer now checks the range of each number and takes the wall-clock time, so that it can refuse a start more than 5 minutes in the future. Ports out of range were refused before; a new test shows it. A time with a fraction is no longer truncated to milliseconds.

The new cases decode_server_number_out_of_range_is_refused, decode_server_start_not_in_the_past_is_refused and store_watch_start_in_future_does_not_hide_later_entries failed with the previous decoder. decode_server_address_out_of_form_is_refused passed with it.

--- a/tests/unit/platform_decode_test.cpp
+++ b/tests/unit/platform_decode_test.cpp
@@ -25,6 +25,9 @@
     R"({"Address":"10.0.0.9:8080","Info":{"Service":"s1","Version":"v1","Zone":"galle","Slots":36},)"
     R"("Status":{"State":"ready","Sequence":4,"ColdRemainingMs":250},"born":1700000000123})";
 
+/// Time of the tests; the server of ServerText has been running for some minutes.
+constexpr std::uint64_t WallMicroseconds = 1'700'000'900'000'000;
+
 std::string withReplacement(const std::string &Text, const std::string &Old,
                             const std::string &New) {
   std::string Result = Text;
@@ -97,7 +100,7 @@
 }
 
 TEST_CASE("decode_server_valid_entry_fills_all_fields") {
-  const auto Server = decodeServer("i-1", ServerText);
+  const auto Server = decodeServer("i-1", ServerText, WallMicroseconds);
   REQUIRE(Server.ok());
   CHECK(Server->Id_ == "i-1");
   CHECK(Server->Host_.str() == "10.0.0.9");
@@ -108,7 +111,8 @@
   CHECK(Server->ColdFor_ == std::chrono::milliseconds(250));
   CHECK(Server->StartedMs_ == 1'700'000'000'123U);
   CHECK_FALSE(Server->Leaving_);
-  CHECK(decodeServer("i-1", withReplacement(ServerText, "ready", "draining"))->Leaving_);
+  CHECK(decodeServer("i-1", withReplacement(ServerText, "ready", "draining"), WallMicroseconds)
+            ->Leaving_);
 }
 
 // Guards against entries of other programs that are mistaken for backend servers.
@@ -125,8 +129,61 @@
         withReplacement(ServerText, "\"born\":1", "\"born\":\"1"),
         withReplacement(ServerText, "\"Info\"", "\"Other\"")}) {
     INFO(Text);
-    CHECK_FALSE(decodeServer("i-1", Text).ok());
+    CHECK_FALSE(decodeServer("i-1", Text, WallMicroseconds).ok());
+  }
+}
+
+// Guards against numbers that overflow or are narrowed to a value that looks valid.
+TEST_CASE("decode_server_number_out_of_range_is_refused") {
+  for (const char *Slots : {"4294967297", "1e300", "36.5", "18446744073709551615", "true"}) {
+    INFO(Slots);
+    const std::string Text =
+        withReplacement(ServerText, "\"Slots\":36", std::string("\"Slots\":") + Slots);
+    CHECK_FALSE(decodeServer("i-1", Text, WallMicroseconds).ok());
+  }
+  for (const char *Cold : {"9223372036854775807", "1e300", "-1e300", "18446744073709551615",
+                           "-9223372036854775808", "-1", "1e999", "true", "null"}) {
+    INFO(Cold);
+    const std::string Text = withReplacement(ServerText, "\"ColdRemainingMs\":250",
+                                             std::string("\"ColdRemainingMs\":") + Cold);
+    CHECK_FALSE(decodeServer("i-1", Text, WallMicroseconds).ok());
+  }
+  const std::string Fraction = withReplacement(ServerText, ":250}", ":249.5}");
+  REQUIRE(decodeServer("i-1", Fraction, WallMicroseconds).ok());
+  CHECK(decodeServer("i-1", Fraction, WallMicroseconds)->ColdFor_ ==
+        std::chrono::microseconds(249'500));
+}
+
+// Guards against an entry with a start in the future, which would hide all later runs of the server
+// from the list of backends.
+TEST_CASE("decode_server_start_not_in_the_past_is_refused") {
+  for (const char *Born : {"1700001200001", "18446744073709551615", "-1", "1.7e12", "1e300",
+                           "1700000000123.5", "true", "null"}) {
+    INFO(Born);
+    CHECK_FALSE(
+        decodeServer("i-1", withReplacement(ServerText, "1700000000123", Born), WallMicroseconds)
+            .ok());
+  }
+  for (const char *Born : {"0", "1700000900001", "1700001200000"}) {
+    INFO(Born);
+    CHECK(decodeServer("i-1", withReplacement(ServerText, "1700000000123", Born), WallMicroseconds)
+              .ok());
+  }
+}
+
+// Guards against a port that is narrowed or read in part.
+TEST_CASE("decode_server_address_out_of_form_is_refused") {
+  for (const char *Address :
+       {"10.0.0.9:0", "10.0.0.9:65536", "10.0.0.9:99999999999", "10.0.0.9:-1", "10.0.0.9:+80",
+        "10.0.0.9: 80", "10.0.0.9:80 ", "10.0.0.9:80x", "10.0.0.9:", ":80", "80", "", "10.0.0.9"}) {
+    INFO(Address);
+    CHECK_FALSE(
+        decodeServer("i-1", withReplacement(ServerText, "10.0.0.9:8080", Address), WallMicroseconds)
+            .ok());
   }
+  CHECK(decodeServer("i-1", withReplacement(ServerText, "10.0.0.9:8080", "10.0.0.9:65535"),
+                     WallMicroseconds)
+            ->Port_ == 65535);
 }
 
 // Guards against one unreadable item that makes the whole page unusable.
--- a/tests/unit/store_watch_test.cpp
+++ b/tests/unit/store_watch_test.cpp
@@ -331,3 +331,17 @@
   Store_.setEra(Era);
   CHECK(runUntil(IsLeaving, ApplyTime));
 }
+
+// Guards against an entry with a start in the far future, after which no entry of the same id is
+// accepted any more.
+TEST_CASE_METHOD(StoreFixture, "store_watch_start_in_future_does_not_hide_later_entries") {
+  startWatch();
+  Store_.put("servers/i-2", R"({"Address":"10.0.0.9:80","born":18446744073709551615,)"
+                            R"("Info":{"Service":"s","Zone":"z","Slots":4},)"
+                            R"("Status":{"State":"ready","ColdRemainingMs":0}})");
+  putServer("i-3", "ready");
+  REQUIRE(runUntil([&] { return Fleet_->servers().find("i-3") != nullptr; }));
+  putServer("i-2", "ready");
+  REQUIRE(runUntil([&] { return Fleet_->servers().find("i-2") != nullptr; }));
+  CHECK(Fleet_->servers().find("i-2")->StartedMs_ == 5);
+}
