--- a/tests/unit/platform_decode_test.cpp
+++ b/tests/unit/platform_decode_test.cpp
@@ -203,3 +203,52 @@
   CHECK_FALSE(decodePage("{\"items\":[]}").ok());
   CHECK_FALSE(decodePage("<html>").ok());
 }
+
+// Guards against an item with a field of another type that makes the whole page unusable, so that a
+// node never gets past it.
+TEST_CASE("decode_page_item_of_other_form_is_skipped_alone") {
+  for (const char *Odd : {"null",
+                          "7",
+                          "1e300",
+                          "\"text\"",
+                          "[]",
+                          "[[1]]",
+                          "{}",
+                          R"({"Key":7,"Value":"e30=","Rev":5})",
+                          R"({"Key":null,"Value":"e30=","Rev":5})",
+                          R"({"Key":{"a":[]},"Value":"e30=","Rev":5})",
+                          R"({"Value":"e30=","Rev":5})",
+                          R"({"Key":"servers/i-1","Value":"e30="})",
+                          R"({"Key":"servers/i-1","Value":"e30=","Rev":"5"})",
+                          R"({"Key":"servers/i-1","Value":"e30=","Rev":-1})",
+                          R"({"Key":"servers/i-1","Value":"e30=","Rev":1e300})",
+                          R"({"Key":"servers/i-1","Value":"e30=","Rev":true})",
+                          R"({"Key":"servers/i-1","Value":"e30=","Rev":5,"Removed":"x"})",
+                          R"({"Key":"servers/i-1","Value":"e30=","Rev":5,"Removed":null})",
+                          R"({"Key":"servers/i-1","Value":7,"Rev":5})",
+                          R"({"Key":"servers/i-1","Rev":5})",
+                          R"({"Key":"servers/i-1","Value":"\ud83d\ude00","Rev":5})"}) {
+    INFO(Odd);
+    const auto Page = decodePage(R"({"items":[{"Key":"a","Value":"","Rev":3},)" + std::string(Odd) +
+                                 R"(,{"Key":"z","Value":"e30=","Rev":6}],"CurrentRev":9})");
+    REQUIRE(Page.ok());
+    CHECK(Page->Unreadable_.size() == 1);
+    REQUIRE(Page->Items_.size() == 2);
+    CHECK(Page->Items_[0].Key_ == "a");
+    CHECK(Page->Items_[1].Value_ == "{}");
+  }
+}
+
+// Guards against a watch that continues after a revision that the store has not reached, because
+// one item has a revision of another form.
+TEST_CASE("decode_page_revision_beyond_page_is_limited_to_it") {
+  const auto Page = decodePage(
+      R"({"events":[{"Key":"a","Value":"","Rev":18446744073709551615}],"CurrentRev":9})");
+  REQUIRE(Page.ok());
+  REQUIRE(Page->Items_.size() == 1);
+  CHECK(Page->Items_[0].Revision_ == 9);
+  for (const char *Current : {"-1", "1e300", "\"9\"", "true", "null", "9.5"}) {
+    INFO(Current);
+    CHECK_FALSE(decodePage(R"({"items":[],"CurrentRev":)" + std::string(Current) + "}").ok());
+  }
+}
