--- a/tests/standins/platform_store.h
+++ b/tests/standins/platform_store.h
@@ -5,6 +5,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -42,6 +43,11 @@
     addEvent(itemOf(Key, Value, Revision_));
     return Revision_;
   }
+  /// Lists an item with a value that is not base64 text, and tells watches of it.
+  Revision putUnreadable(const std::string &Key) {
+    Unreadable_.insert(Key);
+    return put(Key, "");
+  }
   /// Removes an item without an event, as when the history is lost.
   void drop(const std::string &Key) { Items_.erase(Key); }
   Revision remove(const std::string &Key) {
@@ -112,8 +118,9 @@
   };
   using WatchPtr = std::shared_ptr<Watch>;
 
-  static json itemOf(const std::string &Key, const std::string &Value, Revision Changed) {
-    return {{"Key", Key}, {"Value", absl::Base64Escape(Value)}, {"Rev", Changed}, {"Lease", 0}};
+  json itemOf(const std::string &Key, const std::string &Value, Revision Changed) const {
+    const std::string Text = Unreadable_.count(Key) == 0 ? absl::Base64Escape(Value) : "!";
+    return {{"Key", Key}, {"Value", Text}, {"Rev", Changed}, {"Lease", 0}};
   }
 
   void addEvent(json Event) {
@@ -205,6 +212,7 @@
 
   boost::asio::io_context &Io_;
   std::map<std::string, std::pair<std::string, Revision>> Items_;
+  std::set<std::string> Unreadable_; ///< keys whose values are not base64 text
   std::vector<json> Events_;
   Revision Revision_ = 10;
   std::uint64_t Era_ = 1;
--- a/tests/unit/store_watch_test.cpp
+++ b/tests/unit/store_watch_test.cpp
@@ -345,3 +345,46 @@
   REQUIRE(runUntil([&] { return Fleet_->servers().find("i-2") != nullptr; }));
   CHECK(Fleet_->servers().find("i-2")->StartedMs_ == 5);
 }
+
+// Guards against a listing that ends early, or that reads one page for ever, because no item of a
+// page can be decoded.
+TEST_CASE_METHOD(StoreFixture, "store_watch_page_of_unreadable_items_is_passed") {
+  Store_.setPageItems(2);
+  putConfig(3);
+  putServer("i-1", "ready");
+  for (const char *Key : {"servers/i-2", "servers/i-3", "servers/i-4", "servers/i-5"})
+    Store_.putUnreadable(Key);
+  putServer("i-6", "ready");
+  REQUIRE(Watch_->start().ok());
+  REQUIRE(runUntil([&] { return Fleet_->isReady() && Store_.isWatched(); }));
+  CHECK(Store_.listings() == 4);
+  CHECK(Fleet_->servers().find("i-1") != nullptr);
+  CHECK(Fleet_->servers().find("i-6") != nullptr);
+  CHECK(Fleet_->servers().all().size() == 2);
+}
+
+// Guards against an unreadable item at the end of a page, from which the next page does not
+// continue.
+TEST_CASE_METHOD(StoreFixture, "store_watch_unreadable_item_at_end_of_page_is_read_once") {
+  Store_.setPageItems(2);
+  putServer("i-1", "ready");
+  putConfig(3);
+  Store_.putUnreadable("servers/i-2");
+  Store_.putUnreadable("servers/i-3");
+  putServer("i-4", "ready");
+  REQUIRE(Watch_->start().ok());
+  REQUIRE(runUntil([&] { return Fleet_->isReady() && Store_.isWatched(); }));
+  CHECK(Store_.listings() == 3);
+  CHECK(Fleet_->servers().find("i-4") != nullptr);
+}
+
+// Guards against a watch that stops at a change that cannot be decoded.
+TEST_CASE_METHOD(StoreFixture, "store_watch_unreadable_change_does_not_stop_watch") {
+  startWatch();
+  Store_.putUnreadable("servers/i-1");
+  Store_.putUnreadable("op/config");
+  REQUIRE(runUntil([&] { return Store_.isWatched(); }));
+  putServer("i-2", "ready");
+  CHECK(runUntil([&] { return Fleet_->servers().find("i-2") != nullptr; }));
+  CHECK(Fleet_->version() == 3);
+}
