--- a/tests/unit/platform_decode_test.cpp
+++ b/tests/unit/platform_decode_test.cpp
@@ -99,6 +99,48 @@
   }
 }
 
+// Guards against a configuration with numbers that overflow or are narrowed to values that look
+// valid, and against scalars that are read as lists.
+TEST_CASE("decode_config_value_out_of_range_is_refused") {
+  const std::vector<std::pair<std::string, std::vector<std::string>>> Replacements{
+      {"1200", {"9223372036854775807", "18446744073709551615", "1e300", "-1", "true", "1e999"}},
+      {"1500", {"9223372036854775807", "1e300", "-1", "true"}},
+      {"1500,2,", {"1500,-1,", "1500,4294967296,", "1500,1e300,", "1500,1.5,", "1500,true,"}},
+      {"90}", {"-1}", "1e300}", "true}", "null}", "\"90\"}"}},
+      {"2,false", {"4294967298,false", "-1,false", "1e10,false", "true,false", "2,0"}},
+      {"316", {"4294967297", "-1", "1e300", "true", "\"316\""}},
+      {"40,50", {"-1,50", "1e300,50", "true,50", "40,-1", "40,1e300", "40,[]"}},
+      {"1,40", {"-1,40", "4294967296,40", "true,40"}},
+      {"8192", {"-1", "4294967297", "1e300", "true", "null"}},
+      {":1000", {":-1", ":18446744073709551615", ":1e300", ":true"}},
+      {":3000", {":-1", ":9223372036854775807", ":1e300", ":true"}},
+      {":15000", {":-1", ":9223372036854775807", ":1e300", ":true"}},
+      {"\"Version\":7", {"\"Version\":-1", "\"Version\":7.5", "\"Version\":1e300"}},
+      {"[\"key-three\"]", {"\"key-three\"", "{\"a\":\"key-three\"}"}},
+      {"null,3,true,\"s3\"", {"[],3,true,null", "{\"a\":1},3,true,\"s3\"", "7,3,true,\"s3\""}},
+      {R"([["s1","/health",316,"h1",false]])", {"null", "{}", "7", "[7]", "[{}]", "\"s1\""}},
+      {R"(["Name","HealthPath","MaxConnections","Protocol","Tls"])", {"null", "{}", "\"Name\""}}};
+  for (const auto &[Old, Values] : Replacements)
+    for (const std::string &New : Values) {
+      INFO(Old << " -> " << New);
+      CHECK_FALSE(decodeConfig(withReplacement(ConfigText, Old, New)).ok());
+    }
+}
+
+// Guards against a valid configuration that is refused because of a check.
+TEST_CASE("decode_config_value_at_bound_is_accepted") {
+  const std::vector<std::pair<std::string, std::string>> Replacements{
+      {"1200", "0"},         {"1200", "1200.5"},      {"1500,2,", "1500,4294967295,"},
+      {"90}", "0}"},         {"90}", "0.25}"},        {"316", "null"},
+      {"40,50", "0,0"},      {"40,50", "0.5,1e6"},    {":15000", ":86400000"},
+      {":1000", ":1048576"}, {"1500,2,", "0,0,"},     {"null,3,true", "[],3,true"},
+      {"8192", "1048576"},   {":3000", ":2147483647"}};
+  for (const auto &[Old, New] : Replacements) {
+    INFO(Old << " -> " << New);
+    CHECK(decodeConfig(withReplacement(ConfigText, Old, New)).ok());
+  }
+}
+
 TEST_CASE("decode_server_valid_entry_fills_all_fields") {
   const auto Server = decodeServer("i-1", ServerText, WallMicroseconds);
   REQUIRE(Server.ok());
