Test the decoder with nested and with randomly changed documents

An entry that is nested very deeply was suspected to end the process. The JSON library parses and destroys such values without recursion, and the decoder neither copies nor prints them, which do recurse; 100,000 levels as text or in any field are refused or ignored.

decode_changed_documents_valid_parts_hold replaces and deletes values of valid documents at random and checks that the process goes on, that the neighbours on a page hold, and that what is accepted is in range.

--- a/tests/unit/platform_decode_test.cpp
+++ b/tests/unit/platform_decode_test.cpp
@@ -1,6 +1,12 @@
 #include "decode.h"
 
+#include <cmath>
+#include <random>
+
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include "absl/strings/escaping.h"
 
 #include "bronzestand/key_table.h"
 
@@ -36,6 +42,124 @@
   return Result.replace(Position, Old.size(), New);
 }
 
+/// Levels of the nested texts; a function that recurses once a level ends the process with the
+/// usual stack size of 8 MiB.
+constexpr std::size_t DeepLevels = 100'000;
+
+/// Returns a value nested in lists or objects.
+std::string nested(bool Lists, std::size_t Levels, bool Closed) {
+  std::string Text;
+  for (std::size_t Level = 0; Level < Levels; ++Level)
+    Text += Lists ? "[" : R"({"a":)";
+  if (!Closed)
+    return Text;
+  return Text + "0" + std::string(Levels, Lists ? ']' : '}');
+}
+
+/// Changes JSON documents at random: replaces, deletes or adds a value anywhere.
+class Mutator {
+public:
+  explicit Mutator(unsigned Seed) : Random_(Seed) {}
+
+  nlohmann::json changed(nlohmann::json Document) {
+    for (std::size_t Count = 1 + pick(3); Count > 0; --Count)
+      change(Document);
+    return Document;
+  }
+  std::size_t pick(std::size_t Count) {
+    return std::uniform_int_distribution<std::size_t>(0, Count - 1)(Random_);
+  }
+
+private:
+  void change(nlohmann::json &Document) {
+    nlohmann::json *Place = &Document;
+    while (Place->is_structured() && !Place->empty()) {
+      const auto Child =
+          std::next(Place->begin(), static_cast<std::ptrdiff_t>(pick(Place->size())));
+      const std::size_t Action = pick(8);
+      if (Action == 0) {
+        Place->erase(Child);
+        return;
+      }
+      Place = &*Child;
+      if (Action <= 2)
+        break;
+    }
+    *Place = value();
+  }
+
+  nlohmann::json value() {
+    using nlohmann::json;
+    static const std::vector<json> Values{nullptr,
+                                          true,
+                                          false,
+                                          0,
+                                          1,
+                                          -1,
+                                          2.5,
+                                          -0.0,
+                                          1e18,
+                                          1e300,
+                                          -1e300,
+                                          5e-324,
+                                          std::numeric_limits<std::int64_t>::min(),
+                                          std::numeric_limits<std::int64_t>::max(),
+                                          std::numeric_limits<std::uint64_t>::max(),
+                                          4'294'967'296,
+                                          65'536,
+                                          "",
+                                          "text",
+                                          "ready",
+                                          "10.0.0.9:0",
+                                          "10.0.0.9:65536",
+                                          "10.0.0.9:99999999999",
+                                          ":80",
+                                          std::string(1, '\0'),
+                                          std::string(100'000, 'x'),
+                                          json::array(),
+                                          json::object(),
+                                          {1, "a", nullptr},
+                                          {{"Key", 7}, {"a", json::array()}}};
+    const std::size_t Number = pick(Values.size() + 1);
+    return Number < Values.size() ? Values[Number]
+                                  : json::parse(nested(pick(2) == 0, 1 + pick(50), true));
+  }
+
+  std::mt19937 Random_;
+};
+
+void checkSane(const BackendServer &Server) {
+  CHECK(Server.Port_ != 0);
+  CHECK_FALSE(Server.Host_.str().empty());
+  CHECK(Server.Slots_ <= 1'000'000);
+  CHECK(Server.ColdFor_ >= Duration::zero());
+  CHECK(Server.ColdFor_ <= std::chrono::hours(1));
+  CHECK(Server.StartedMs_ <= WallMicroseconds / 1'000 + 300'000);
+}
+
+void checkSane(const FleetConfig &Config) {
+  constexpr Duration MaxTime = std::chrono::hours(24 * 366);
+  for (const FleetRoute &Route : Config.Routes_) {
+    CHECK_FALSE(Route.Parts_.empty());
+    CHECK(Route.Timeout_ >= Duration::zero());
+    CHECK(Route.Timeout_ <= MaxTime);
+    CHECK(Route.Objective_ >= Duration::zero());
+    CHECK(Route.Objective_ <= MaxTime);
+    for (const TrafficPart &Part : Route.Parts_) {
+      CHECK(std::isfinite(Part.Weight_));
+      CHECK(Part.Weight_ >= 0.0);
+    }
+  }
+  for (const FleetTeam &Team : Config.Teams_) {
+    CHECK(std::isfinite(Team.Spec_.Rate_));
+    CHECK(Team.Spec_.Rate_ >= 0.0);
+    CHECK(std::isfinite(Team.Spec_.Burst_));
+    CHECK(Team.Spec_.Burst_ >= 0.0);
+  }
+  CHECK(Config.Limits_.HeaderTimeout_.count() >= 0);
+  CHECK(Config.Limits_.IdleTimeout_.count() >= 0);
+}
+
 } // namespace
 
 // Guards against fields of the platform's configuration that are stored in the wrong member.
@@ -294,3 +418,96 @@
     CHECK_FALSE(decodePage(R"({"items":[],"CurrentRev":)" + std::string(Current) + "}").ok());
   }
 }
+
+// Guards against a decoder that ends the process because it recurses into nested values.
+TEST_CASE("decode_deeply_nested_text_is_refused") {
+  for (const bool Lists : {true, false})
+    for (const bool Closed : {true, false}) {
+      const std::string Deep = nested(Lists, DeepLevels, Closed);
+      INFO(Deep.substr(0, 5) << " closed: " << Closed);
+      CHECK_FALSE(decodeServer("i-1", Deep, WallMicroseconds).ok());
+      CHECK_FALSE(decodeConfig(Deep).ok());
+      CHECK_FALSE(decodePage(Deep).ok());
+      if (!Closed)
+        continue;
+      for (const char *Field :
+           {"\"s1\"", "\"10.0.0.9:8080\"", "36", "\"ready\"", "250", "1700000000123",
+            "{\"Service\":\"s1\",\"Version\":\"v1\",\"Zone\":\"galle\",\"Slots\":36}"}) {
+        INFO(Field);
+        CHECK_FALSE(
+            decodeServer("i-1", withReplacement(ServerText, Field, Deep), WallMicroseconds).ok());
+      }
+      for (const char *Field :
+           {"\"safe\"", "1200", "90", "316", "8192", "\"key-one\"", "40", "7"}) {
+        INFO(Field);
+        CHECK_FALSE(decodeConfig(withReplacement(ConfigText, Field, Deep)).ok());
+      }
+    }
+  CHECK(decodeServer("i-1", withReplacement(ServerText, "\"v1\"", nested(true, DeepLevels, true)),
+                     WallMicroseconds)
+            .ok());
+}
+
+// Guards against a deeply nested item that ends the process or hides the others on its page.
+TEST_CASE("decode_page_deeply_nested_item_is_skipped_alone") {
+  for (const bool Lists : {true, false}) {
+    const std::string Deep = nested(Lists, DeepLevels, true);
+    for (const std::string &Odd : {Deep, R"({"Key":)" + Deep + R"(,"Value":"","Rev":5})",
+                                   R"({"Key":"k","Value":)" + Deep + R"(,"Rev":5})",
+                                   R"({"Key":"k","Value":"","Rev":)" + Deep + "}",
+                                   R"({"Key":"k","Value":"","Rev":5,"Removed":)" + Deep + "}"}) {
+      const auto Page = decodePage(R"({"items":[{"Key":"a","Value":"","Rev":3},)" + Odd +
+                                   R"(,{"Key":"z","Value":"","Rev":6}],"CurrentRev":9})");
+      REQUIRE(Page.ok());
+      CHECK(Page->Items_.size() == 2);
+      CHECK(Page->Unreadable_.size() == 1);
+      CHECK(Page->LastKey_ == "z");
+    }
+  }
+}
+
+// Guards against entries, pages and configurations of any other form that end the process, hide
+// valid items of the same page, or are accepted with values out of range.
+TEST_CASE("decode_changed_documents_valid_parts_hold") {
+  using nlohmann::json;
+  constexpr unsigned Runs = 3'000;
+  const json Server = json::parse(ServerText);
+  const json Config = json::parse(ConfigText);
+  const json Item{{"Key", "servers/i-2"}, {"Value", absl::Base64Escape(ServerText)}, {"Rev", 5}};
+  std::size_t Refused = 0;
+  for (unsigned Seed = 1; Seed <= Runs; ++Seed) {
+    INFO("seed " << Seed);
+    Mutator Change(Seed);
+    const std::string Entry = Change.changed(Server).dump();
+    const auto DecodedServer = decodeServer("i-2", Entry, WallMicroseconds);
+    if (DecodedServer.ok())
+      checkSane(*DecodedServer);
+    else
+      ++Refused;
+    const auto DecodedConfig = decodeConfig(Change.changed(Config).dump());
+    if (DecodedConfig.ok())
+      checkSane(*DecodedConfig);
+
+    json Odd = Change.changed(Item);
+    if (Change.pick(2) == 0)
+      Odd = {{"Key", "servers/i-2"}, {"Value", absl::Base64Escape(Entry)}, {"Rev", 5}};
+    const json First{{"Key", "servers/i-1"}, {"Value", absl::Base64Escape(ServerText)}, {"Rev", 4}};
+    const json Last{{"Key", "servers/i-3"}, {"Value", absl::Base64Escape(ServerText)}, {"Rev", 6}};
+    const json Body{{"items", {First, std::move(Odd), Last}}, {"CurrentRev", 9}};
+    const auto Page = decodePage(Body.dump());
+    REQUIRE(Page.ok());
+    CHECK(Page->Items_.size() + Page->Unreadable_.size() == 3);
+    CHECK(Page->LastKey_ == "servers/i-3");
+    for (const std::size_t Index : {std::size_t{0}, Page->Items_.size() - 1}) {
+      const StoreItem &Neighbour = Page->Items_.at(Index);
+      CHECK(Neighbour.Key_ == (Index == 0 ? "servers/i-1" : "servers/i-3"));
+      CHECK(decodeServer("i-1", Neighbour.Value_, WallMicroseconds).ok());
+    }
+    const auto Other = decodePage(Change.changed(Body).dump()); // may be refused as a whole
+    if (Other.ok())
+      for (const StoreItem &Decoded : Other->Items_)
+        CHECK(Decoded.Revision_ <= Other->Position_.Revision_);
+  }
+  CHECK(Refused > Runs / 4);
+  CHECK(Refused < Runs);
+}
