Test that the store watch passes odd entries of other programs

Nested entries, ports and numbers out of range are put into the list and into the changes that a watch returns; the node must use the other servers and follow the store.

--- a/tests/unit/store_watch_test.cpp
+++ b/tests/unit/store_watch_test.cpp
@@ -388,3 +388,30 @@
   CHECK(runUntil([&] { return Fleet_->servers().find("i-2") != nullptr; }));
   CHECK(Fleet_->version() == 3);
 }
+
+// Guards against an entry of another program that ends the node or stops it from following the
+// store, in the list as well as in a change.
+TEST_CASE_METHOD(StoreFixture, "store_watch_odd_entry_names_no_server_and_others_hold") {
+  const std::string Deep = std::string(100'000, '[') + std::string(100'000, ']');
+  const std::vector<std::string> Odd{
+      Deep,
+      std::string(100'000, '['),
+      R"({"Address":)" + Deep + "}",
+      R"({"Address":"10.0.0.9:65536","born":5,"Info":{"Service":"s","Zone":"z","Slots":4},)"
+      R"("Status":{"State":"ready","ColdRemainingMs":0}})",
+      R"({"Address":"10.0.0.9:80","born":5,"Info":{"Service":"s","Zone":"z","Slots":4},)"
+      R"("Status":{"State":"ready","ColdRemainingMs":1e300}})",
+      R"({"Address":"10.0.0.9:80","born":1e999})"};
+  for (std::size_t Index = 0; Index < Odd.size(); ++Index)
+    Store_.put("servers/a-" + std::to_string(Index), Odd[Index]);
+  startWatch();
+  CHECK(Fleet_->servers().all().size() == 1);
+  for (std::size_t Index = 0; Index < Odd.size(); ++Index)
+    Store_.put("servers/j-" + std::to_string(Index), Odd[Index]);
+  putServer("i-2", "ready");
+  CHECK(runUntil([&] { return Fleet_->servers().find("i-2") != nullptr; }));
+  CHECK(Fleet_->servers().all().size() == 2);
+  Store_.put("op/config", Deep);
+  putConfig(5);
+  CHECK(isInForce(5, ApplyTime));
+}
