Take a 421 with the id of the request as not run

A server that is not the expected one answers 421 and does not run the request; the platform does not promise the header of "not run" with it. The id of the request stays required.

--- a/src/mesh/backend_gate.cpp
+++ b/src/mesh/backend_gate.cpp
@@ -33,6 +33,8 @@
 constexpr double ReduceStep = 1.0;
 constexpr double RestorePerSecond = 2.0;
 constexpr double MaxReducedShare = 0.3;
+/// Status of a server that is not the expected one; it does not run the request.
+constexpr unsigned WrongServerStatus = 421;
 /// A call with less time left is refused.
 constexpr Duration MinTimeLeft = std::chrono::milliseconds(5);
 
@@ -202,7 +204,9 @@
 // the request. The id proves that the server has seen this request, because the client does not use
 // a connection again for a request that was refused there.
 bool BackendGate::isRefusal(const Call &Request, const HttpResponse &Response) const {
-  return findHeader(Response.Headers_, Names_.NotRun_).has_value() && isNamed(Request, Response);
+  const bool NotRun = Response.Status_ == WrongServerStatus ||
+                      findHeader(Response.Headers_, Names_.NotRun_).has_value();
+  return NotRun && isNamed(Request, Response);
 }
 
 Answer BackendGate::toAnswer(const Call &Request, HttpResult Result, HttpResponse &&Response) {
@@ -218,7 +222,7 @@
     break;
   }
   if (isRefusal(Request, Response)) {
-    if (Response.Status_ == 421)
+    if (Response.Status_ == WrongServerStatus)
       return Answer::refused(Request.Id_, Refusal::WrongBackend);
     ReducedSlots_ = std::min(ReducedSlots_ + ReduceStep, MaxReducedShare * limit());
     return Answer::refused(Request.Id_, Refusal::BackendRejected);
