--- a/include/bronzestand/backend_directory.h
+++ b/include/bronzestand/backend_directory.h
@@ -28,8 +28,8 @@
 /// reliable is kept until the list has had time to recover. Design section 4.
 class BackendDirectory {
 public:
-  /// Adds or replaces an entry. A run of a server that is leaving stays so,
-  /// also after its removal.
+  /// Adds or replaces an entry. A run of a server that is leaving stays so, also after its
+  /// removal.
   /// \return whether the entry is new or a field changed; false also for an entry of an earlier run
   ///         of the server, which does not replace the current one.
   bool put(BackendServer Entry);
@@ -40,9 +40,9 @@
   bool remove(TimePoint Now, const std::string &Id, bool Trusted);
   /// Replaces the whole list; entries that are missing from the new one are removed as in remove().
   /// \param NewHistory the platform lost its last changes, so the list may contain servers that
-  /// were
-  ///        removed by one of them. These are held back until the list has had time to recover,
-  ///        also if it is read again meanwhile.
+  ///        one of them had removed.
+  ///        These are held back until the list has had time to recover, also if it is read again
+  ///        meanwhile.
   /// \return whether any entry changed or was removed.
   bool replace(TimePoint Now, std::vector<BackendServer> Entries, bool Trusted,
                bool NewHistory = false);
