--- a/tests/unit/store_watch_test.cpp
+++ b/tests/unit/store_watch_test.cpp
@@ -393,15 +393,15 @@
 // store, in the list as well as in a change.
 TEST_CASE_METHOD(StoreFixture, "store_watch_odd_entry_names_no_server_and_others_hold") {
   const std::string Deep = std::string(100'000, '[') + std::string(100'000, ']');
-  const std::vector<std::string> Odd{
-      Deep,
-      std::string(100'000, '['),
-      R"({"Address":)" + Deep + "}",
-      R"({"Address":"10.0.0.9:65536","born":5,"Info":{"Service":"s","Zone":"z","Slots":4},)"
-      R"("Status":{"State":"ready","ColdRemainingMs":0}})",
-      R"({"Address":"10.0.0.9:80","born":5,"Info":{"Service":"s","Zone":"z","Slots":4},)"
-      R"("Status":{"State":"ready","ColdRemainingMs":1e300}})",
-      R"({"Address":"10.0.0.9:80","born":1e999})"};
+  const std::string Info = R"("born":5,"Info":{"Service":"s","Zone":"z","Slots":4},)";
+  const std::vector<std::string> Odd{Deep,
+                                     std::string(100'000, '['),
+                                     R"({"Address":)" + Deep + "}",
+                                     R"({"Address":"10.0.0.9:65536",)" + Info +
+                                         R"("Status":{"State":"ready","ColdRemainingMs":0}})",
+                                     R"({"Address":"10.0.0.9:80",)" + Info +
+                                         R"("Status":{"State":"ready","ColdRemainingMs":1e300}})",
+                                     R"({"Address":"10.0.0.9:80","born":1e999})"};
   for (std::size_t Index = 0; Index < Odd.size(); ++Index)
     Store_.put("servers/a-" + std::to_string(Index), Odd[Index]);
   startWatch();
