--- a/tests/unit/store_watch_test.cpp
+++ b/tests/unit/store_watch_test.cpp
@@ -90,6 +90,14 @@
         },
         Limit);
   }
+  /// Lets the store fail a watch and leave the retry unanswered; the store serves afterwards.
+  void loseRetryInOutage() {
+    Store_.setSilent(true);
+    Store_.failWatches(503);
+    const int Before = Store_.watches();
+    REQUIRE(runUntil([&] { return Store_.watches() > Before; }));
+    Store_.setSilent(false);
+  }
   void runFor(milliseconds Time) {
     const auto End = std::chrono::steady_clock::now() + Time;
     runUntil([&] { return std::chrono::steady_clock::now() >= End; }, 2 * Time);
@@ -184,11 +192,7 @@
 // an earlier one had failed.
 TEST_CASE_METHOD(StoreFixture, "store_watch_retry_sent_during_outage_recovers_after_it") {
   startWatch();
-  Store_.setSilent(true);
-  Store_.failWatches(503);
-  const int Before = Store_.watches();
-  REQUIRE(runUntil([&] { return Store_.watches() > Before; }));
-  Store_.setSilent(false);
+  loseRetryInOutage();
   putConfig(5);
   CHECK(isInForce(5, ContactTime));
 }
@@ -197,11 +201,7 @@
 // because an earlier request had failed.
 TEST_CASE_METHOD(StoreFixture, "store_watch_behind_peers_after_failure_reads_again") {
   startWatch();
-  Store_.setSilent(true);
-  Store_.failWatches(503);
-  const int Before = Store_.watches();
-  REQUIRE(runUntil([&] { return Store_.watches() > Before; }));
-  Store_.setSilent(false);
+  loseRetryInOutage();
   putConfig(5);
   Fleet_->noteKnowledge({{Store_.era(), Store_.revision()}, 0});
   CHECK(isInForce(5, ContactTime));
