Write the fingerprint of a request to the log of a mesh node

The lines of two sendings of one request share nothing, because each sending has its own id, so the log could not tell one request that ran at each end of a server from many different ones. The fingerprint covers method, host name, target, team and body; it is on the entry lines retry and answered and on the gate line call_failed. No decision uses it yet.

--- a/include/bronzestand/quarantine.h
+++ b/include/bronzestand/quarantine.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <set>
+#include <string>
 #include <string_view>
 #include <tuple>
 #include <unordered_map>
@@ -21,6 +22,8 @@
 
 /// Computes the fingerprint of a request. Cost: linear in the body.
 Fingerprint fingerprintOf(std::string_view Route, const TeamId &Team, std::string_view Body);
+/// Formats a fingerprint for logs and dumps, as 16 hexadecimal digits.
+std::string fingerprintText(Fingerprint Value);
 
 /// A crash of a backend server, stored with each fingerprint that ran at the time.
 struct CrashRecord {
--- a/src/engine/quarantine.cpp
+++ b/src/engine/quarantine.cpp
@@ -22,6 +22,8 @@
   return XXH3_64bits_withSeed(Body.data(), Body.size(), XXH3_64bits(Head.data(), Head.size()));
 }
 
+std::string fingerprintText(Fingerprint Value) { return fmt::format("{:016x}", Value); }
+
 const Quarantine::Entry *Quarantine::find(TimePoint Now, const Key &EntryKey) const {
   const auto Found = Entries_.find(EntryKey);
   return Found == Entries_.end() || Found->second.Expiry_ <= Now ? nullptr : &Found->second;
--- a/src/mesh/backend_gate.cpp
+++ b/src/mesh/backend_gate.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "bronzestand/quarantine.h"
 #include "node/clock.h"
 
 namespace bronzestand::node {
@@ -277,6 +278,7 @@
   if (Result.Outcome_ != Outcome::Served && Events_.mayWrite(Now, EventClass::Decision))
     Events_.write(Now, EventClass::Decision, "backend_gate", "call_failed",
                   {{"request", Ended.Call_.Request_.str()},
+                   {"fingerprint", fingerprintText(Ended.Call_.Fingerprint_)},
                    {"caller", Key.first.str()},
                    {"reason", refusalInfo(Result.Refusal_).Name_},
                    {"reached_server", Ended.AtServer_},
--- a/src/mesh/entry.cpp
+++ b/src/mesh/entry.cpp
@@ -4,7 +4,9 @@
 
 #include <boost/algorithm/string.hpp>
 #include <boost/range/algorithm_ext/erase.hpp>
+#include <fmt/format.h>
 
+#include "bronzestand/quarantine.h"
 #include "mesh/entry_call.h"
 #include "node/clock.h"
 #include "node/codec_call.h"
@@ -208,6 +210,10 @@
     return;
   }
   Outgoing.Idempotent_ = Route.Idempotent_;
+  std::string HostName;
+  Outgoing.Fingerprint_ = fingerprintOf(
+      fmt::format("{} {}{}", Request.Method_, hostNameOf(Request, HostName), Request.Target_),
+      Outgoing.Team_, Request.Body_);
   Outgoing.Method_ = std::move(Request.Method_);
   Outgoing.Target_ = std::move(Request.Target_);
   Outgoing.Headers_ = std::move(Request.Headers_);
--- a/src/mesh/entry_call.cpp
+++ b/src/mesh/entry_call.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "bronzestand/quarantine.h"
 #include "node/clock.h"
 #include "node/codec_call.h"
 
@@ -316,6 +317,7 @@
        {"route", Call_.Class_.str()},
        {"team", Call_.Team_.str()},
        {"service", Call_.Service_.str()},
+       {"fingerprint", fingerprintText(Call_.Fingerprint_)},
        {"server", Server_},
        {"server_host", Host_.str()},
        {"outcome", outcomeName(Result.Outcome_)},
--- a/src/node/crash_guard.cpp
+++ b/src/node/crash_guard.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 
 #include <boost/algorithm/string/predicate.hpp>
-#include <fmt/format.h>
 
 #include "node/clock.h"
 #include "node/codec_quarantine.h"
@@ -196,7 +195,7 @@
   nlohmann::json Table = nlohmann::json::array();
   for (const Quarantine::Listed &Item : Quarantine_.list(now()))
     Table.push_back({{"team", Item.Team_.str()},
-                     {"fingerprint", fmt::format("{:016x}", Item.Fingerprint_)},
+                     {"fingerprint", fingerprintText(Item.Fingerprint_)},
                      {"state", Item.Quarantined_ ? "quarantined" : "suspect"},
                      {"crashes", Item.Crashes_},
                      {"seconds_left", Item.TimeLeft_.count() / 1'000'000}});
