--- /dev/null
+++ b/tests/standins/mesh_backend.h
@@ -0,0 +1,151 @@
+#ifndef BRONZESTAND_TESTS_STANDINS_MESH_BACKEND_H
+#define BRONZESTAND_TESTS_STANDINS_MESH_BACKEND_H
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <boost/algorithm/string/predicate.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <nlohmann/json.hpp>
+
+#include "node/http_server.h"
+#include "platform_store.h"
+
+namespace bronzestand::standin {
+
+/// Stand-in of a backend server of the service "s" on a platform with a metadata store. It lists
+/// itself in the store, serves each request after a fixed time, and ends while it runs a request
+/// whose path contains "poison". An ended server starts again at its address with a new id.
+class MeshBackend {
+public:
+  using json = nlohmann::json;
+  using Clock = std::chrono::steady_clock;
+  using milliseconds = std::chrono::milliseconds;
+
+  /// A request that arrived.
+  struct Arrival {
+    std::string Target_;
+    Clock::time_point At_;
+    bool Rejected_ = false; ///< answered 421, because it names another server
+  };
+
+  MeshBackend(boost::asio::io_context &Io, node::Endpoint Listen, PlatformStore &Store)
+      : Io_(Io), Listen_(std::move(Listen)), Store_(Store), RestartTimer_(Io) {}
+  MeshBackend(const MeshBackend &) = delete;
+  MeshBackend &operator=(const MeshBackend &) = delete;
+  ~MeshBackend() {
+    RestartTimer_.cancel();
+    if (Up_)
+      Servers_.back()->stop();
+  }
+
+  /// Listens and lists a new server in the store.
+  bool start() {
+    Id_ = "i-" + Listen_.Address_ + "-" + std::to_string(++Run_);
+    Servers_.push_back(std::make_unique<node::HttpServer>(
+        Io_, Listen_, node::HttpServerLimits(),
+        [this](const node::HttpRequest &Request, const node::HttpExchangePtr &Exchange) {
+          handle(Request, Exchange);
+        }));
+    Up_ = Servers_.back()->start().ok();
+    announce();
+    return Up_;
+  }
+  /// Writes the entry of the server to the store.
+  void announce() {
+    Store_.put("servers/" + Id_, json{{"Address", Listen_.str()},
+                                      {"Info", {{"Service", "s"}, {"Zone", "z"}, {"Slots", 32}}},
+                                      {"Status", {{"State", "ready"}, {"ColdRemainingMs", 0}}},
+                                      {"born", Run_}}
+                                     .dump());
+  }
+  /// Ends the server with all of its connections; it starts again after RestartAfter_.
+  void crash() {
+    if (!Up_)
+      return;
+    Up_ = false;
+    ++Crashes_;
+    Servers_.back()->stop();
+    RestartTimer_.expires_after(RestartAfter_);
+    RestartTimer_.async_wait([this](const boost::system::error_code &Failure) {
+      if (Failure)
+        return;
+      Store_.remove("servers/" + Id_);
+      start();
+    });
+  }
+
+  bool isUp() const { return Up_; }
+  int crashes() const { return Crashes_; }
+  const std::string &id() const { return Id_; }
+  const std::vector<Arrival> &arrivals() const { return Arrivals_; }
+  std::size_t runsOf(const std::string &Target) const {
+    return static_cast<std::size_t>(
+        std::count_if(Arrivals_.begin(), Arrivals_.end(), [&](const Arrival &Item) {
+          return !Item.Rejected_ && Item.Target_ == Target;
+        }));
+  }
+
+  milliseconds ServeTime_{30};
+  milliseconds CrashAfter_{20}; ///< from the arrival of a request that crashes the server
+  milliseconds RestartAfter_{300};
+  /// Headers of all answers, in addition to the usual ones.
+  std::vector<Header> MoreHeaders_;
+  /// Listens without a new entry in the store, as a server that has just started does.
+  std::optional<std::string> IdOverride_;
+
+private:
+  static std::string valueOf(const node::HttpRequest &Request, std::string_view Name) {
+    return node::findHeader(Request.Headers_, Name).value_or("");
+  }
+
+  void handle(const node::HttpRequest &Request, const node::HttpExchangePtr &Exchange) {
+    const bool Misdirected = valueOf(Request, "Target-Instance") != IdOverride_.value_or(Id_);
+    Arrivals_.push_back({Request.Target_, Clock::now(), Misdirected});
+    node::HttpResponse Response;
+    Response.Headers_ = MoreHeaders_;
+    Response.Headers_.push_back({"Request-Id", valueOf(Request, "Request-Id")});
+    if (Misdirected) {
+      Response.Status_ = 421;
+      Exchange->respond(std::move(Response));
+      return;
+    }
+    if (boost::contains(Request.Target_, "poison")) {
+      // The exchange is kept, because it is answered when it is dropped.
+      after(CrashAfter_, [this, Exchange] { crash(); });
+      return;
+    }
+    Response.Headers_.push_back({"Server-Signature", "s1"});
+    Response.Body_ = "served";
+    after(ServeTime_, [Exchange, Response] { Exchange->respond(Response); });
+  }
+
+  /// Calls a function after a time, unless this run of the server has ended.
+  void after(milliseconds Time, std::function<void()> Action) {
+    const auto Timer = std::make_shared<boost::asio::steady_timer>(Io_, Time);
+    Timer->async_wait([this, Timer, Run = Run_,
+                       Action = std::move(Action)](const boost::system::error_code &Failure) {
+      if (!Failure && Up_ && Run == Run_)
+        Action();
+    });
+  }
+
+  boost::asio::io_context &Io_;
+  node::Endpoint Listen_;
+  PlatformStore &Store_;
+  boost::asio::steady_timer RestartTimer_;
+  std::vector<std::unique_ptr<node::HttpServer>> Servers_; ///< one for each run
+  std::string Id_;
+  std::uint64_t Run_ = 0;
+  bool Up_ = false;
+  int Crashes_ = 0;
+  std::vector<Arrival> Arrivals_;
+};
+
+} // namespace bronzestand::standin
+
+#endif
--- /dev/null
+++ b/tests/unit/mesh_backend_fixture.h
@@ -0,0 +1,112 @@
+#ifndef BRONZESTAND_TESTS_MESH_BACKEND_FIXTURE_H
+#define BRONZESTAND_TESTS_MESH_BACKEND_FIXTURE_H
+
+#include <numeric>
+
+#include "mesh_fixture.h"
+#include "standins/mesh_backend.h"
+
+namespace bronzestand {
+
+/// Four nodes in one process, each beside a backend server of the same service. Requests to
+/// "/safe/" may be repeated, those to "/once/" may not.
+struct MeshBackendFixture : MeshFixture {
+  static constexpr std::size_t ServerCount = 4;
+
+  /// What a caller got; status 0 if there is no answer yet, or none at all.
+  struct Reply {
+    bool Ended_ = false;
+    node::HttpResponse Response_;
+
+    unsigned status() const { return Ended_ ? Response_.Status_ : 0; }
+    std::string header(std::string_view Name) const {
+      return node::findHeader(Response_.Headers_, Name).value_or("");
+    }
+  };
+  using ReplyPtr = std::shared_ptr<Reply>;
+
+  std::vector<std::unique_ptr<standin::MeshBackend>> Backends_;
+
+  MeshBackendFixture() {
+    putConfigWithRetries(3);
+    for (std::size_t Index = 0; Index < ServerCount; ++Index) {
+      Backends_.push_back(std::make_unique<standin::MeshBackend>(
+          Io_, node::Endpoint{hostOf(Index), BackendPort_}, Store_));
+      REQUIRE(Backends_.back()->start());
+    }
+    for (std::size_t Index = 0; Index < ServerCount; ++Index)
+      startNode(hostOf(Index));
+    for (std::size_t Index = 0; Index < ServerCount; ++Index)
+      REQUIRE(runUntil([&] { return statusOf(hostOf(Index), "/other/") == 404; }));
+  }
+  static std::string hostOf(std::size_t Index) {
+    return "127.0.0." + std::to_string(2 + Index % ServerCount);
+  }
+
+  void putConfigWithRetries(std::uint64_t Version) {
+    json Rows = json::array();
+    for (const auto &[Prefix, Kind] : {std::pair("/safe/", "safe"), std::pair("/once/", "unsafe")})
+      Rows.push_back({Prefix, "a.example", Prefix, Kind, "s", true, 3});
+    Store_.put(
+        "op/config",
+        json{{"Version", Version},
+             {"Routes",
+              {{"Columns", {"Name", "Host", "Prefix", "Kind", "Service", "Public", "MaxAttempts"}},
+               {"Rows", Rows}}}}
+            .dump());
+  }
+
+  /// Sends a request to the node at a position; the reply is filled in while the event loop runs.
+  ReplyPtr sendTo(std::size_t Index, const std::string &Target, const std::string &Body = "",
+                  milliseconds Deadline = std::chrono::seconds(2)) {
+    const auto Result = std::make_shared<Reply>();
+    node::HttpRequest Request;
+    Request.Method_ = Body.empty() ? "GET" : "POST";
+    Request.Target_ = Target;
+    Request.Headers_ = {{"Host", "a.example"},
+                        {"Request-Id", "q" + std::to_string(++LastRequest_)},
+                        {"Deadline-Ms", std::to_string(Deadline.count())}};
+    Request.Body_ = Body;
+    Clients_.push_back(
+        std::make_unique<node::HttpClient>(Io_, node::Endpoint{hostOf(Index), CallerPort_}, 1));
+    Clients_.back()->send(std::move(Request), Deadline + std::chrono::seconds(1),
+                          [Result](node::HttpResult, node::HttpResponse Response) {
+                            Result->Ended_ = true;
+                            Result->Response_ = std::move(Response);
+                          });
+    return Result;
+  }
+  /// Sends a request and waits for the answer.
+  ReplyPtr call(std::size_t Index, const std::string &Target, const std::string &Body = "") {
+    const ReplyPtr Result = sendTo(Index, Target, Body);
+    runUntil([&] { return Result->Ended_; });
+    return Result;
+  }
+  void wait(milliseconds Time) {
+    const auto End = std::chrono::steady_clock::now() + Time;
+    runUntil([&] { return std::chrono::steady_clock::now() >= End; }, 2 * Time);
+  }
+  bool allUp() {
+    return runUntil([&] {
+      return std::all_of(Backends_.begin(), Backends_.end(),
+                         [](const auto &Item) { return Item->isUp(); });
+    });
+  }
+  int crashes() const {
+    return std::accumulate(Backends_.begin(), Backends_.end(), 0,
+                           [](int Sum, const auto &Item) { return Sum + Item->crashes(); });
+  }
+  std::size_t runsOf(const std::string &Target) const {
+    return std::accumulate(
+        Backends_.begin(), Backends_.end(), std::size_t{0},
+        [&](std::size_t Sum, const auto &Item) { return Sum + Item->runsOf(Target); });
+  }
+
+private:
+  std::vector<std::unique_ptr<node::HttpClient>> Clients_;
+  int LastRequest_ = 0;
+};
+
+} // namespace bronzestand
+
+#endif
--- a/tests/unit/mesh_fixture.h
+++ b/tests/unit/mesh_fixture.h
@@ -33,6 +33,7 @@
   const std::uint16_t BackendPort_ = freePort();
   standin::PlatformStore Store_{Io_, {"127.0.0.1", StorePort_}};
   std::vector<std::unique_ptr<node::MeshNode>> Nodes_;
+  std::vector<std::unique_ptr<node::MeshNode>> Stopped_; ///< kept for handlers that still run
 
   MeshFixture() { REQUIRE(Store_.start().ok()); }
   ~MeshFixture() { Store_.stop(); }
@@ -62,6 +63,17 @@
     REQUIRE(Nodes_.back()->start().ok());
   }
 
+  /// Ends the node at a position at once and starts another one in its place.
+  void restartNode(std::size_t Index, const std::string &Host) {
+    Nodes_[Index]->shutdown();
+    Nodes_[Index]->shutdown(); // the second call ends it without waiting
+    Io_.restart();
+    Stopped_.push_back(std::move(Nodes_[Index]));
+    startNode(Host);
+    Nodes_[Index] = std::move(Nodes_.back());
+    Nodes_.pop_back();
+  }
+
   void putServer(standin::PlatformStore &Store, const std::string &Id, const std::string &Host) {
     Store.put("servers/" + Id, json{{"Address", Host + ":" + std::to_string(BackendPort_)},
                                     {"Info", {{"Service", "s"}, {"Zone", "z"}, {"Slots", 4}}},
