Debit the retry budget for calls that a replaced server rejected

Cause: a server that has ended is back at its address with a new id, and answers 421 to calls that name the one before it. The entry took a 421 for "did not reach a server", as if it were a refusal by the node, so it sent the request again up to three times with no debit of the retry budget. It is an arrival that a server rejected.

Change: a 421 counts as an arrival. It still is not one of the servers that a request may reach, because it has not run there. A gate that is asked for another service refuses as no_backend_server, so that wrong_backend_server always means that the server itself said so.

--- a/src/mesh/backend_gate.cpp
+++ b/src/mesh/backend_gate.cpp
@@ -98,7 +98,7 @@
 
 std::optional<Refusal> BackendGate::findRefusal(const Call &Request) const {
   if (Request.Service_ != Config_.Service_)
-    return Refusal::WrongBackend;
+    return Refusal::NoBackendServer;
   if (Draining_)
     return Refusal::ShuttingDown;
   if (isServerGone())
--- a/src/mesh/entry_call.cpp
+++ b/src/mesh/entry_call.cpp
@@ -32,6 +32,12 @@
   return Result.Outcome_ != Outcome::NotRun || Result.Refusal_ == Refusal::BackendRejected;
 }
 
+/// Also true if the request arrived at a server other than the chosen one, which rejects it. Such
+/// an arrival uses the retry budget, but is not one of the servers that the request may reach.
+bool arrivedAtServer(const Answer &Result) {
+  return reachedServer(Result) || Result.Refusal_ == Refusal::WrongBackend;
+}
+
 AttemptResult resultOf(const Answer &Result) {
   if (Result.Outcome_ == Outcome::Served)
     return Result.HttpStatus_ >= 500 ? AttemptResult::Failed : AttemptResult::Served;
@@ -221,7 +227,7 @@
     return false;
   if (Crashes_ >= MaxCrashes)
     return false;
-  if (ReachedServers_.empty())
+  if (Arrivals_ == 0)
     return Attempt_ < MaxAttemptsUnreached;
   return (ReachedServers_.size() < MaxRuns_ || !RejectingServers_.empty()) &&
          Owner_.Budget_.take(now(), Call_.Service_, !Call_.Team_.empty());
@@ -234,10 +240,9 @@
     ++Crashes_;
     Call_.Crashes_ = Result.Crashes_;
   }
-  if (reachedServer(Result)) {
-    ++Arrivals_;
+  Arrivals_ += arrivedAtServer(Result) ? 1 : 0;
+  if (reachedServer(Result))
     ReachedServers_.insert(Server_);
-  }
   if (Result.Outcome_ == Outcome::NotRun && Result.Refusal_ == Refusal::BackendRejected)
     RejectingServers_.insert(Server_);
   else
--- a/tests/standins/mesh_backend.h
+++ b/tests/standins/mesh_backend.h
@@ -74,6 +74,8 @@
     });
   }
 
+  /// Goes on as another server at the same address, of which the store does not tell.
+  void replaceUnlisted() { Id_ += "-replaced"; }
   /// Ends all connections while the server goes on; its requests are not answered.
   void dropConnections() {
     Servers_.back()->stop();
--- /dev/null
+++ b/tests/unit/mesh_retry_test.cpp
@@ -0,0 +1,57 @@
+#include "mesh_backend_fixture.h"
+
+using namespace bronzestand;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// All servers have been replaced at their addresses, and the store has not told yet.
+struct MeshReplacedFixture : MeshBackendFixture {
+  MeshReplacedFixture() {
+    for (const auto &Server : Backends_)
+      Server->replaceUnlisted();
+  }
+
+  std::size_t arrivals() const {
+    return std::accumulate(
+        Backends_.begin(), Backends_.end(), std::size_t{0},
+        [](std::size_t Sum, const auto &Item) { return Sum + Item->arrivals().size(); });
+  }
+};
+
+} // namespace
+
+// Guards against requests that are sent again without limit after servers have answered that they
+// are others than the named ones: each arrival counts for the retry budget.
+TEST_CASE_METHOD(MeshReplacedFixture, "mesh_retry_after_421_is_within_retry_budget") {
+  constexpr std::size_t Requests = 40;
+  const node::MeshSettings Budget;
+  std::vector<ReplyPtr> Replies;
+  for (std::size_t Number = 0; Number < Requests; ++Number)
+    Replies.push_back(sendTo(Number, "/safe/" + std::to_string(Number)));
+  REQUIRE(runUntil([&] {
+    return std::all_of(Replies.begin(), Replies.end(),
+                       [](const ReplyPtr &Item) { return Item->Ended_; });
+  }));
+  for (const ReplyPtr &Item : Replies)
+    CHECK(Item->status() == 503);
+  CHECK(static_cast<double>(arrivals()) <=
+        (1.0 + Budget.RetryRatio_) * Requests + Budget.RetryAllowance_);
+}
+
+// Guards against a request that is not sent to another server although the first one says that it
+// did not run it.
+TEST_CASE_METHOD(MeshBackendFixture, "mesh_retry_after_421_reaches_another_server") {
+  // First attempts that earn one retry at the node.
+  std::vector<ReplyPtr> Earlier;
+  for (std::size_t Number = 0; Number < 160; ++Number)
+    Earlier.push_back(sendTo(0, "/safe/" + std::to_string(Number)));
+  REQUIRE(runUntil([&] {
+    return std::all_of(Earlier.begin(), Earlier.end(),
+                       [](const ReplyPtr &Item) { return Item->Ended_; });
+  }));
+  Backends_[0]->replaceUnlisted();
+  CHECK(call(0, "/once/first", "b")->status() == 200);
+  CHECK(Backends_[0]->arrivals().back().Rejected_);
+  CHECK(runsOf("/once/first") == 1);
+}
