Stop calls to a server that was replaced at its address

What callers saw: after a server ended and another one started at its address, the new one answered 421 to all calls that named the old one, until each entry had learned of the change from the store. Each was an arrival that used the retry budget, or a request refused for want of budget.

Cause: the node beside the server passed the 421 on and sent the next call that named the same server all the same.

Change: after two rejections in a row for one id the gate refuses calls that name it for 2 s, without an arrival. A single 421 may be a copy of another answer (backend_gate_copied_refusal_does_not_answer_next_attempt); after 2 s the server is asked again, since it may have started with its old id.

--- a/src/mesh/backend_gate.cpp
+++ b/src/mesh/backend_gate.cpp
@@ -36,6 +36,11 @@
 constexpr double MaxReducedShare = 0.3;
 /// Status of a server that is not the expected one; it does not run the request.
 constexpr unsigned WrongServerStatus = 421;
+/// A server that was replaced at its address is not asked again for this time. It may start again
+/// with the id that it had.
+constexpr Duration ReplacedTime = std::chrono::seconds(2);
+/// Rejections in a row that show the replacement; a single one may be a copy of another answer.
+constexpr unsigned MinReplacedAnswers = 2;
 /// A call with less time left is refused.
 constexpr Duration MinTimeLeft = std::chrono::milliseconds(5);
 
@@ -96,12 +101,25 @@
   return Own == nullptr ? WasListed_ : Own->Leaving_;
 }
 
+bool BackendGate::isReplaced(const Call &Request) const {
+  return ReplacedAnswers_ >= MinReplacedAnswers && now() < ReplacedUntil_ &&
+         findHeader(Request.Headers_, Names_.ExpectedServer_) == ReplacedServer_;
+}
+
+void BackendGate::noteReplaced(const std::string &Id) {
+  const TimePoint Now = now();
+  const bool Repeated = Id == ReplacedServer_ && Now < ReplacedUntil_;
+  ReplacedAnswers_ = Repeated ? ReplacedAnswers_ + 1 : 1;
+  ReplacedServer_ = Id;
+  ReplacedUntil_ = Now + ReplacedTime;
+}
+
 std::optional<Refusal> BackendGate::findRefusal(const Call &Request) const {
   if (Request.Service_ != Config_.Service_)
     return Refusal::NoBackendServer;
   if (Draining_)
     return Refusal::ShuttingDown;
-  if (isServerGone())
+  if (isServerGone() || isReplaced(Request))
     return Refusal::NoBackendServer;
   if (Request.TimeLeft_ < MinTimeLeft)
     return Refusal::DeadlineTooShort;
@@ -162,7 +180,8 @@
 std::optional<Refusal> BackendGate::findLateRefusal(const PendingCall &Current) const {
   if (Current.Deadline_ - now() < MinTimeLeft)
     return Refusal::DeadlineTooShort;
-  return isServerGone() ? std::optional(Refusal::NoBackendServer) : std::nullopt;
+  return isServerGone() || isReplaced(Current.Call_) ? std::optional(Refusal::NoBackendServer)
+                                                     : std::nullopt;
 }
 
 void BackendGate::send(const CallKey &Key) {
@@ -248,8 +267,10 @@
     break;
   }
   if (isRefusal(Request, Response)) {
-    if (Response.Status_ == WrongServerStatus)
+    if (Response.Status_ == WrongServerStatus) {
+      noteReplaced(findHeader(Request.Headers_, Names_.ExpectedServer_).value_or(""));
       return Answer::refused(Request.Id_, Refusal::WrongBackend);
+    }
     ReducedSlots_ = std::min(ReducedSlots_ + ReduceStep, MaxReducedShare * limit());
     return Answer::refused(Request.Id_, Refusal::BackendRejected);
   }
@@ -258,6 +279,7 @@
                   {{"request", Request.Request_.str()}, {"status", Response.Status_}});
     return Answer::refused(Request.Id_, Refusal::ConnectionLost);
   }
+  ReplacedAnswers_ = 0;
   Answer Done;
   Done.Id_ = Request.Id_;
   Done.Outcome_ = Outcome::Served;
--- a/src/mesh/backend_gate.h
+++ b/src/mesh/backend_gate.h
@@ -59,6 +59,9 @@
 
   unsigned limit() const;
   bool isServerGone() const;
+  /// Returns whether the server that a call names has been replaced at its address.
+  bool isReplaced(const Call &Request) const;
+  void noteReplaced(const std::string &Id);
   Duration meanServiceTime(const Call &Request) const;
   Duration expectedWait(const Call &Request) const;
   Duration allowedWait(const Call &Request) const;
@@ -96,6 +99,9 @@
   ShedTable DownstreamLevels_;
   double ReducedSlots_ = 0.0; ///< slots withheld after rejections by the server
   TimePoint RestoredAt_{};
+  std::string ReplacedServer_;   ///< id that the server at the address rejected last
+  unsigned ReplacedAnswers_ = 0; ///< such rejections in a row
+  TimePoint ReplacedUntil_{};    ///< end of the time for which they hold
   bool Draining_ = false;
   bool WasListed_ = false; ///< whether the platform has listed the server since the start
   std::uint64_t OwnCalls_ = 0;
