Keep the limit that a backend server names in its answers

Cause: no node read Server-Limit. The traffic of a limited server did not change, so it was not a limit that each node keeps for itself.

Change: ServerLimit, a token bucket at the gate. Every request to a server passes the gate beside it, so one place keeps the limit exactly without messages, for all nodes together. The wait for a token is part of the expected wait of a call, so that calls that can't wait are refused at once, and part of the load that answers report, so that the balancer sends elsewhere. Calls carry what the entry knows of the limit: a gate that has restarted keeps it before the first answer.

--- a/include/bronzestand/backend_choice.h
+++ b/include/bronzestand/backend_choice.h
@@ -61,6 +61,8 @@
   /// if nothing is known.
   Duration expectedWait(TimePoint Now, const BackendDirectory &Directory,
                         const ServiceId &Service) const;
+  /// Returns the limit that a server has named recently, in requests per second; 0 if none.
+  double rateOf(TimePoint Now, const std::string &Id) const;
   /// Returns the distance of a server from this node.
   Locality localityOf(const BackendServer &Server) const;
 
@@ -83,6 +85,7 @@
   double cost(TimePoint Now, const BackendServer &Server, Duration Objective, double Bytes) const;
   Duration estimateWait(TimePoint Now, const ServerRecord &Record,
                         const BackendServer &Server) const;
+  static Duration estimateRateWait(TimePoint Now, const ServerRecord &Record);
 
   DataCentreId Home_;
   std::unordered_map<std::string, std::string> Regions_;
--- a/include/bronzestand/call.h
+++ b/include/bronzestand/call.h
@@ -54,6 +54,7 @@
   Knowledge Known_;      ///< what the sender knows from the platform
   /// Crashes of backend servers while they ran an earlier attempt of this call.
   std::vector<CrashRecord> Crashes_;
+  double ServerRate_ = 0.0; ///< the server's limit in requests/s as the sender knows it; 0 if none
 };
 
 /// Load of a backend server as its node reports it with each answer.
@@ -64,6 +65,8 @@
   Duration ServiceTime_{};    ///< recent mean time that the server takes for a call
   bool MakesCalls_ = true;    ///< the server makes calls of its own
   double Shed_ = 0.0;         ///< ShedLevel of the server and of the services that it calls
+  double Rate_ = 0.0;         ///< requests/s that the server takes; 0 if it names no limit
+  Duration RateWait_{};       ///< time until the limit allows a further call
 };
 
 /// Admission level of a service: calls below the threshold are refused at the entry.
--- a/src/engine/backend_choice.cpp
+++ b/src/engine/backend_choice.cpp
@@ -25,6 +25,8 @@
 constexpr double FailurePenalty = 4.0;
 /// The number of calls in a load report is ignored after this time, because it is out of date.
 constexpr Duration ReportLifetime = std::chrono::seconds(1);
+/// The limit of a server is told to a node that has restarted for this time.
+constexpr Duration RateLifetime = std::chrono::seconds(5);
 /// An unreachable server is avoided for this time.
 constexpr Duration AvoidDuration = std::chrono::milliseconds(1500);
 /// Latency objective for routes without one.
@@ -71,11 +73,29 @@
 
 Duration BackendChoice::estimateWait(TimePoint Now, const ServerRecord &Record,
                                      const BackendServer &Server) const {
+  const Duration RateWait = estimateRateWait(Now, Record);
   const std::uint32_t Limit = concurrencyLimit(Record, Server);
   const std::uint32_t Outstanding = outstandingCalls(Now, Record);
   if (Limit == 0 || Outstanding < Limit)
+    return RateWait;
+  return std::max<Duration>(RateWait,
+                            Record.Load_.ServiceTime_ * (Outstanding - Limit + 1) / Limit);
+}
+
+Duration BackendChoice::estimateRateWait(TimePoint Now, const ServerRecord &Record) {
+  if (Record.Load_.Rate_ <= 0.0)
     return Duration::zero();
-  return Record.Load_.ServiceTime_ * (Outstanding - Limit + 1) / Limit;
+  const auto Started =
+      std::chrono::duration<double>(Record.StartedSinceReport_ / Record.Load_.Rate_);
+  const Duration Wait = Record.Load_.RateWait_ + std::chrono::duration_cast<Duration>(Started) -
+                        (Now - Record.ReportedAt_);
+  return std::max(Duration::zero(), Wait);
+}
+
+double BackendChoice::rateOf(TimePoint Now, const std::string &Id) const {
+  const auto Found = Records_.find(Id);
+  const bool Known = Found != Records_.end() && Now - Found->second.ReportedAt_ <= RateLifetime;
+  return Known ? Found->second.Load_.Rate_ : 0.0;
 }
 
 double BackendChoice::cost(TimePoint Now, const BackendServer &Server, Duration Objective,
--- a/src/mesh/backend_gate.cpp
+++ b/src/mesh/backend_gate.cpp
@@ -72,6 +72,8 @@
   Result.MakesCalls_ = Served_ < MinServed || static_cast<double>(OwnCalls_) >=
                                                   OwnCallShare * static_cast<double>(Served_);
   Result.Shed_ = std::max(Shed_.level(), DownstreamLevels_.highest(now()));
+  Result.Rate_ = Rate_.rate().value_or(0.0);
+  Result.RateWait_ = Rate_.timeUntil(now(), Queue_.size() + 1);
   return Result;
 }
 
@@ -87,11 +89,13 @@
 
 Duration BackendGate::expectedWait(const Call &Request) const {
   const unsigned Limit = limit();
-  if (InFlight_ < Limit)
-    return Duration::zero();
   const std::size_t Ahead = Queue_.ahead(Request.Standing_.ClassRank_, Request.Team_) + 1;
-  return std::chrono::microseconds(
-      static_cast<std::int64_t>(MeanSeconds_ * 1e6 * static_cast<double>(Ahead) / Limit));
+  const Duration RateWait = Rate_.timeUntil(now(), Ahead);
+  if (InFlight_ < Limit)
+    return RateWait;
+  return std::max<Duration>(RateWait,
+                            std::chrono::microseconds(static_cast<std::int64_t>(
+                                MeanSeconds_ * 1e6 * static_cast<double>(Ahead) / Limit)));
 }
 
 // A server may keep running for a while after the platform has removed its entry, and other nodes,
@@ -142,6 +146,9 @@
 
 void BackendGate::submitCall(const HostId &Caller, Call Request, Reply Done) {
   Fleet_.noteKnowledge(Request.Known_);
+  checkServerRun();
+  if (Request.ServerRate_ > 0.0)
+    Rate_.adopt(now(), Request.ServerRate_);
   const CallKey Key(Caller, Request.Id_);
   const auto Reason = findRefusal(Request);
   Shed_.offered();
@@ -168,7 +175,7 @@
 
 void BackendGate::dispatch() {
   const TimePoint Now = now();
-  while (!Queue_.empty() && InFlight_ < limit()) {
+  while (!Queue_.empty() && InFlight_ < limit() && Rate_.timeUntil(Now, 1) == Duration::zero()) {
     const FairQueue::Taken Next = Queue_.pop(Now, false);
     const auto Found = ByQueueNumber_.find(Next.Entry_.Id_);
     if (Found != ByQueueNumber_.end())
@@ -212,6 +219,7 @@
   }
   const TimePoint Now = now();
   const Duration Left = Current.Deadline_ - Now;
+  Rate_.sent(Now);
   Current.SentAt_ = Now;
   Current.AtServer_ = true;
   ++InFlight_;
@@ -289,6 +297,26 @@
   return Done;
 }
 
+void BackendGate::noteServerState(const PendingCall &Current, const HttpResponse &Response) {
+  const Call &Request = Current.Call_;
+  if (Response.Status_ == WrongServerStatus ||
+      (!isRefusal(Request, Response) && !isFromServer(Request, Response)))
+    return;
+  const auto Named = findHeader(Response.Headers_, Names_.Rate_);
+  const auto Rate = Named ? parseRate(*Named) : std::nullopt;
+  if (Rate_.answered(now(), Rate, Current.SentAt_))
+    Events_.write(now(), EventClass::Belief, "backend_gate", "server_limit",
+                  {{"limit", Named.value_or("")}, {"rate", Rate_.rate().value_or(0.0)}});
+}
+
+void BackendGate::checkServerRun() {
+  const BackendServer *Own = Fleet_.ownServer();
+  if (Own == nullptr || ServerRun_ == std::pair(Own->Id_, Own->StartedMs_))
+    return;
+  ServerRun_ = {Own->Id_, Own->StartedMs_};
+  Rate_.reset();
+}
+
 void BackendGate::onResult(const CallKey &Key, HttpResult Result, HttpResponse Response) {
   const auto Found = Calls_.find(Key);
   if (Found == Calls_.end())
@@ -302,6 +330,8 @@
     Update(MeanSeconds_);
     Update(SecondsByClass_[Request.Class_.str()]);
   }
+  if (Result == HttpResult::Answered)
+    noteServerState(Found->second, Response);
   // The connections of a server that is leaving may end with it.
   if (Result == HttpResult::Lost && !isServerGone()) {
     Guard_.lost(Key, [this, Key](std::vector<CrashRecord> Crashes) {
@@ -377,10 +407,16 @@
     ExpiryTimer_.cancel();
     return;
   }
-  ExpiryTimer_.expires_after(std::max(Duration::zero(), First->Deadline_ - now()));
+  const TimePoint Now = now();
+  Duration Wait = std::max(Duration::zero(), First->Deadline_ - Now);
+  if (InFlight_ < limit())
+    Wait = std::min(Wait, Rate_.timeUntil(Now, 1));
+  ExpiryTimer_.expires_after(Wait);
   ExpiryTimer_.async_wait([this](const boost::system::error_code &Failure) {
-    if (!Failure)
-      expire();
+    if (Failure)
+      return;
+    expire();
+    dispatch();
   });
 }
 
--- a/src/mesh/backend_gate.h
+++ b/src/mesh/backend_gate.h
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "bronzestand/dispatcher.h"
+#include "bronzestand/server_limit.h"
 #include "bronzestand/shed_level.h"
 #include "mesh/fleet_state.h"
 #include "mesh/header_names.h"
@@ -77,6 +78,10 @@
   bool isNamed(const Call &Request, const HttpResponse &Response) const;
   bool isRefusal(const Call &Request, const HttpResponse &Response) const;
   bool isFromServer(const Call &Request, const HttpResponse &Response) const;
+  /// Reads what an answer says of the server itself.
+  void noteServerState(const PendingCall &Current, const HttpResponse &Response);
+  /// Forgets the limit of an earlier run of the server.
+  void checkServerRun();
   void finish(const CallKey &Key, Answer Result);
   void expire();
   void scheduleExpiry();
@@ -99,6 +104,8 @@
   ShedTable DownstreamLevels_;
   double ReducedSlots_ = 0.0; ///< slots withheld after rejections by the server
   TimePoint RestoredAt_{};
+  ServerLimit Rate_;
+  std::pair<std::string, std::uint64_t> ServerRun_; ///< id and start of the server of Rate_
   std::string ReplacedServer_;   ///< id that the server at the address rejected last
   unsigned ReplacedAnswers_ = 0; ///< such rejections in a row
   TimePoint ReplacedUntil_{};    ///< end of the time for which they hold
--- a/src/mesh/header_names.h
+++ b/src/mesh/header_names.h
@@ -14,6 +14,7 @@
   std::string CallingService_; ///< service of the host where the request began; set by the node
   std::string ExpectedServer_; ///< id of the backend server that may run the request
   std::string Signature_;      ///< marks answers that a backend server made itself
+  std::string Rate_;           ///< requests per second that the backend server takes
   std::string NotRun_;         ///< the backend server says that it did not run the request
 };
 
--- a/src/node/codec_call.cpp
+++ b/src/node/codec_call.cpp
@@ -71,6 +71,10 @@
 void to_json(json &Out, const BackendLoad &In) {
   Out = json::array({In.Running_, In.Waiting_, In.Limit_, In.ServiceTime_.count(), In.MakesCalls_,
                      static_cast<unsigned>(In.Shed_ * ShedUnits)});
+  if (In.Rate_ > 0.0) {
+    Out.push_back(In.Rate_);
+    Out.push_back(In.RateWait_.count());
+  }
 }
 
 void from_json(const json &In, BackendLoad &Out) {
@@ -80,6 +84,10 @@
   Out.ServiceTime_ = Duration(In.at(3).get<Duration::rep>());
   In.at(4).get_to(Out.MakesCalls_);
   Out.Shed_ = In.at(5).get<unsigned>() / ShedUnits;
+  if (In.size() > 6) {
+    In.at(6).get_to(Out.Rate_);
+    Out.RateWait_ = Duration(In.at(7).get<Duration::rep>());
+  }
 }
 
 void to_json(json &Out, const Call &In) {
@@ -105,6 +113,8 @@
                      In.Known_.Position_.Era_,
                      In.Known_.Version_,
                      In.Crashes_});
+  if (In.ServerRate_ > 0.0)
+    Out.push_back(In.ServerRate_);
 }
 
 void from_json(const json &In, Call &Out) {
@@ -130,6 +140,8 @@
   decodeKnowledge(In, 18, Out.Known_);
   if (In.size() > 21)
     decodeCrashes(In.at(21), Out.Crashes_);
+  if (In.size() > 22)
+    In.at(22).get_to(Out.ServerRate_);
 }
 
 void to_json(json &Out, const Answer &In) {
--- a/tests/unit/backend_choice_test.cpp
+++ b/tests/unit/backend_choice_test.cpp
@@ -65,6 +65,19 @@
   CHECK(choose() == "i-region");
 }
 
+// Guards against calls to a server that takes no more for now while others have room.
+TEST_CASE_METHOD(ChoiceFixture, "choice_server_at_its_rate_limit_is_avoided_until_it_has_room") {
+  Choice_.report(Now_, "i-near", {0, 0, 10, milliseconds(100), false, 0.0, 2.0, milliseconds(400)});
+  CHECK(choose() == "i-region");
+  CHECK(Choice_.rateOf(Now_, "i-near") == 2.0);
+  Now_ += milliseconds(450);
+  CHECK(choose() == "i-near");
+  Choice_.started("i-near");
+  CHECK(choose() == "i-region");
+  CHECK(Choice_.expectedWait(Now_, Directory_, Service_) == Duration::zero());
+  CHECK(Choice_.rateOf(Now_ + seconds(6), "i-near") == 0.0);
+}
+
 // Guards against large answers that cross regions although the wait within the region is short.
 TEST_CASE_METHOD(ChoiceFixture, "choice_region_busy_large_answers_stay_in_region") {
   Choice_.report(Now_, "i-near", {10, 10, 10, milliseconds(200), false});
--- a/tests/unit/codec_quarantine_test.cpp
+++ b/tests/unit/codec_quarantine_test.cpp
@@ -52,6 +52,22 @@
       decodeQuarantine(encodeQuarantine(QuarantineQuery()))));
 }
 
+// Guards against a limit of a backend server that is lost between nodes, and against a call or a
+// load of an earlier build that is refused.
+TEST_CASE("codec_call_carries_server_rate") {
+  Call Request;
+  CHECK(json(Request).get<Call>().ServerRate_ == 0.0);
+  Request.ServerRate_ = 3.5;
+  CHECK(json(Request).get<Call>().ServerRate_ == 3.5);
+  BackendLoad Load;
+  CHECK(json(Load).size() == 6);
+  CHECK(json(Load).get<BackendLoad>().Rate_ == 0.0);
+  Load.Rate_ = 18.2;
+  Load.RateWait_ = std::chrono::milliseconds(7);
+  CHECK(json(Load).get<BackendLoad>().Rate_ == 18.2);
+  CHECK(json(Load).get<BackendLoad>().RateWait_ == std::chrono::milliseconds(7));
+}
+
 // Guards against crashes that are lost between nodes, and against a call or an answer of an earlier
 // build that is refused.
 TEST_CASE("codec_call_carries_crashes") {
