Send nothing more to a server whose answers say that it is leaving

What callers saw: requests went on to a server that had said in its answers that it leaves, until the store told so, and without the store for good.

Cause: no node read Server-Leaving; leaving was known from the store's list only, which some servers never write and which a node may not get.

Change: the gate marks the listed run as leaving, as if the store had said so; every answer for a call to such a server tells the entry, which does the same. The mark belongs to that run: the same run listed as ready does not lift it, a later run under the same id does not have it.

--- a/include/bronzestand/backend_directory.h
+++ b/include/bronzestand/backend_directory.h
@@ -33,6 +33,9 @@
   /// \return whether the entry is new or a field changed; false also for an entry of an earlier run
   ///         of the server, which does not replace the current one.
   bool put(BackendServer Entry);
+  /// Marks the listed run of a server as leaving, because the server itself said so.
+  /// \return whether it is listed and was not leaving.
+  bool markLeaving(const std::string &Id);
   /// Removes an entry, or keeps it for now if the list is not reliable and the server was not
   /// leaving.
   /// \param Trusted the list was available without interruption, so the server has left or failed.
--- a/include/bronzestand/call.h
+++ b/include/bronzestand/call.h
@@ -85,7 +85,8 @@
   std::string Body_;
   std::uint32_t UnusedAttempts_ = 0;
   std::vector<ServiceLevel> Levels_;
-  bool Leaving_ = false; ///< the executor's host is leaving
+  bool Leaving_ = false;       ///< the executor's host is leaving
+  bool ServerLeaving_ = false; ///< the backend server said that it is leaving
   BackendLoad Load_;
   Knowledge Known_; ///< as in Call
   /// Known crashes while the request ran, if the backend server has just crashed.
--- a/src/engine/backend_directory.cpp
+++ b/src/engine/backend_directory.cpp
@@ -38,6 +38,11 @@
   return Changed;
 }
 
+bool BackendDirectory::markLeaving(const std::string &Id) {
+  const auto Found = Entries_.find(Id);
+  return Found != Entries_.end() && !std::exchange(Found->second.Leaving_, true);
+}
+
 bool BackendDirectory::remove(TimePoint Now, const std::string &Id, bool Trusted) {
   Held_.erase(Id);
   const auto Found = Entries_.find(Id);
--- a/src/mesh/backend_gate.cpp
+++ b/src/mesh/backend_gate.cpp
@@ -41,6 +41,7 @@
 constexpr Duration ReplacedTime = std::chrono::seconds(2);
 /// Rejections in a row that show the replacement; a single one may be a copy of another answer.
 constexpr unsigned MinReplacedAnswers = 2;
+constexpr std::string_view LeavingValue = "1";
 /// A call with less time left is refused.
 constexpr Duration MinTimeLeft = std::chrono::milliseconds(5);
 
@@ -253,6 +254,10 @@
   return findHeader(Response.Headers_, Names_.Signature_).has_value() && isNamed(Request, Response);
 }
 
+bool BackendGate::saysLeaving(const HttpResponse &Response) const {
+  return findHeader(Response.Headers_, Names_.Leaving_) == LeavingValue;
+}
+
 // A refusal without the id of the request may be a copy of an earlier one, while the server runs
 // the request. The id proves that the server has seen this request, because the client does not use
 // a connection again for a request that was refused there.
@@ -297,11 +302,14 @@
   return Done;
 }
 
-void BackendGate::noteServerState(const PendingCall &Current, const HttpResponse &Response) {
+void BackendGate::noteServerState(PendingCall &Current, const HttpResponse &Response) {
   const Call &Request = Current.Call_;
   if (Response.Status_ == WrongServerStatus ||
       (!isRefusal(Request, Response) && !isFromServer(Request, Response)))
     return;
+  Current.ServerLeaving_ = saysLeaving(Response);
+  if (Current.ServerLeaving_)
+    Fleet_.noteLeaving(findHeader(Request.Headers_, Names_.ExpectedServer_).value_or(""));
   const auto Named = findHeader(Response.Headers_, Names_.Rate_);
   const auto Rate = Named ? parseRate(*Named) : std::nullopt;
   if (Rate_.answered(now(), Rate, Current.SentAt_))
@@ -309,6 +317,12 @@
                   {{"limit", Named.value_or("")}, {"rate", Rate_.rate().value_or(0.0)}});
 }
 
+bool BackendGate::isNamedServerLeaving(const Call &Request) const {
+  const auto Id = findHeader(Request.Headers_, Names_.ExpectedServer_);
+  const BackendServer *Server = Id ? Fleet_.servers().find(*Id) : nullptr;
+  return Server != nullptr && Server->Leaving_;
+}
+
 void BackendGate::checkServerRun() {
   const BackendServer *Own = Fleet_.ownServer();
   if (Own == nullptr || ServerRun_ == std::pair(Own->Id_, Own->StartedMs_))
@@ -355,6 +369,7 @@
   Guard_.leave(Key, Result.Outcome_ == Outcome::Served);
   Result.Load_ = load();
   Result.Leaving_ = Draining_;
+  Result.ServerLeaving_ = Ended.ServerLeaving_ || isNamedServerLeaving(Ended.Call_);
   Result.Known_ = Fleet_.knowledge();
   ++(Result.Outcome_ == Outcome::Served   ? Served_
      : Result.Outcome_ == Outcome::NotRun ? Refused_
--- a/src/mesh/backend_gate.h
+++ b/src/mesh/backend_gate.h
@@ -55,7 +55,8 @@
     TimePoint SentAt_{};
     CallId QueueNumber_ = 0; ///< id in the queue
     HttpClient::RequestNumber Request_ = 0;
-    bool AtServer_ = false; ///< sent and not yet answered
+    bool AtServer_ = false;      ///< sent and not yet answered
+    bool ServerLeaving_ = false; ///< the server's answer says that it is leaving
   };
 
   unsigned limit() const;
@@ -78,8 +79,11 @@
   bool isNamed(const Call &Request, const HttpResponse &Response) const;
   bool isRefusal(const Call &Request, const HttpResponse &Response) const;
   bool isFromServer(const Call &Request, const HttpResponse &Response) const;
+  bool saysLeaving(const HttpResponse &Response) const;
   /// Reads what an answer says of the server itself.
-  void noteServerState(const PendingCall &Current, const HttpResponse &Response);
+  void noteServerState(PendingCall &Current, const HttpResponse &Response);
+  /// Returns whether the server that a call names is known to be leaving.
+  bool isNamedServerLeaving(const Call &Request) const;
   /// Forgets the limit of an earlier run of the server.
   void checkServerRun();
   void finish(const CallKey &Key, Answer Result);
--- a/src/mesh/entry_call.cpp
+++ b/src/mesh/entry_call.cpp
@@ -175,6 +175,8 @@
 void EntryCall::onAnswer(const Answer &Result) {
   if (Done_ || Result.Id_ != Call_.Id_)
     return;
+  if (Result.ServerLeaving_)
+    Owner_.Env_.Fleet_.noteLeaving(Server_);
   if (Result.Load_.Limit_ != 0)
     Owner_.Choice_.report(now(), Server_, Result.Load_);
   Owner_.noteLoad(Call_, Result.Load_);
--- a/src/mesh/fleet_state.cpp
+++ b/src/mesh/fleet_state.cpp
@@ -95,6 +95,13 @@
   serversChanged();
 }
 
+void FleetState::noteLeaving(const std::string &Id) {
+  if (!Directory_.markLeaving(Id))
+    return;
+  Events_.write(now(), EventClass::Belief, "fleet_state", "server_leaving", {{"server", Id}});
+  serversChanged();
+}
+
 void FleetState::remove(const std::string &Id, bool Trusted) {
   const bool Changed = Directory_.remove(now(), Id, Trusted);
   Events_.write(now(), EventClass::Belief, "fleet_state",
--- a/src/mesh/fleet_state.h
+++ b/src/mesh/fleet_state.h
@@ -28,6 +28,8 @@
   void apply(FleetConfig Config);
   /// Adds or replaces a backend server.
   void put(BackendServer Entry);
+  /// Records that a backend server said in an answer that it is leaving.
+  void noteLeaving(const std::string &Id);
   /// \param Trusted as in BackendDirectory::remove().
   void remove(const std::string &Id, bool Trusted);
   /// \param NewHistory as in BackendDirectory::replace().
--- a/src/mesh/header_names.h
+++ b/src/mesh/header_names.h
@@ -15,6 +15,7 @@
   std::string ExpectedServer_; ///< id of the backend server that may run the request
   std::string Signature_;      ///< marks answers that a backend server made itself
   std::string Rate_;           ///< requests per second that the backend server takes
+  std::string Leaving_;        ///< "1": the backend server is leaving
   std::string NotRun_;         ///< the backend server says that it did not run the request
 };
 
--- a/src/node/codec_call.cpp
+++ b/src/node/codec_call.cpp
@@ -149,6 +149,8 @@
                      In.HttpStatus_, In.Headers_, toBinary(In.Body_), In.UnusedAttempts_,
                      In.Levels_, In.Leaving_, In.Load_, In.Known_.Position_.Revision_,
                      In.Known_.Position_.Era_, In.Known_.Version_, In.Crashes_});
+  if (In.ServerLeaving_)
+    Out.push_back(true);
 }
 
 void from_json(const json &In, Answer &Out) {
@@ -165,6 +167,7 @@
   decodeKnowledge(In, 10, Out.Known_);
   if (In.size() > 13)
     decodeCrashes(In.at(13), Out.Crashes_);
+  Out.ServerLeaving_ = In.size() > 14 && In.at(14).get<bool>();
 }
 
 } // namespace bronzestand
--- a/tests/unit/backend_directory_test.cpp
+++ b/tests/unit/backend_directory_test.cpp
@@ -73,6 +73,20 @@
   CHECK(Directory_.remove(Now_, "i-1", false));
 }
 
+// Guards against calls to a server that said that it is leaving before the platform's list did.
+TEST_CASE_METHOD(DirectoryFixture, "directory_run_that_said_it_is_leaving_stays_so") {
+  Directory_.put(makeServer("i-1", "10.0.0.1"));
+  CHECK(Directory_.markLeaving("i-1"));
+  CHECK(!Directory_.markLeaving("i-1"));
+  CHECK(!Directory_.markLeaving("i-2"));
+  Directory_.put(makeServer("i-1", "10.0.0.1"));
+  CHECK(Directory_.find("i-1")->Leaving_);
+  CHECK(!restore(seconds(1), {makeServer("i-1", "10.0.0.1")}));
+  CHECK(Directory_.find("i-1")->Leaving_);
+  Directory_.put(makeServer("i-1", "10.0.0.1", 2));
+  CHECK(!Directory_.find("i-1")->Leaving_);
+}
+
 // Guards against a delayed entry of an earlier run that replaces the current one.
 TEST_CASE_METHOD(DirectoryFixture, "directory_entry_of_earlier_run_is_ignored") {
   Directory_.put(makeServer("i-1", "10.0.0.1", 2));
