Refuse what may outlast the grace period from 3 s after the signal on

What callers saw (report of another operator): requests that came late in the grace period of a planned stop were passed on, and cut at its end, also such that may not be repeated.

Cause: a stopping node took any request for half of the grace period. The platform excuses a cut only for requests sent within 3 s of the signal and still running in the last sixth; with a grace period of 10 s, requests of 3 to 5 s were taken and cut, and with one below 4.8 s the requests were ended before the last sixth. A retry was started at any time.

Change: such requests, and retries of them, are refused as not run from 3 s on, or from half of the grace period on if that is earlier; what still runs is ended an eighth of the grace period before its end, at most 600 ms. With the 6 s of the present deployments nothing but the retries changes.

--- a/src/mesh/entry.cpp
+++ b/src/mesh/entry.cpp
@@ -197,7 +197,7 @@
     refuse(Request, Outgoing, &Route, {Refusal::DeadlineTooShort, std::nullopt}, Exchange);
     return;
   }
-  if (mayOutlastDrain(Outgoing)) {
+  if (mayOutlastDrain(Outgoing.TimeLeft_)) {
     refuse(Request, Outgoing, &Route, {Refusal::ShuttingDown, ShuttingDownRetryAfter}, Exchange);
     return;
   }
@@ -228,9 +228,9 @@
   DrainDeadline_ = End;
 }
 
-bool Entry::mayOutlastDrain(const Call &Outgoing) const {
+bool Entry::mayOutlastDrain(Duration TimeLeft) const {
   const TimePoint Now = now();
-  return Now >= RefuseFrom_ && Now + Outgoing.TimeLeft_ > DrainDeadline_;
+  return Now >= RefuseFrom_ && Now + TimeLeft > DrainDeadline_;
 }
 
 void Entry::refuse(const HttpRequest &Request, const Call &Outgoing, const FleetRoute *Route,
--- a/src/mesh/entry.h
+++ b/src/mesh/entry.h
@@ -80,7 +80,9 @@
   void run(HttpRequest Request, Call Outgoing, const FleetRoute &Route,
            const HttpExchangePtr &Exchange);
   void prepareHeaders(HttpRequest &Request, const Call &Outgoing) const;
-  bool mayOutlastDrain(const Call &Outgoing) const;
+  /// Returns whether a request that starts now with this time left may be broken off by the end of
+  /// the process.
+  bool mayOutlastDrain(Duration TimeLeft) const;
   void refuse(const HttpRequest &Request, const Call &Outgoing, const FleetRoute *Route,
               const RefusalDetails &Details, const HttpExchangePtr &Exchange);
   void onAnswer(const HostId &From, const Answer &Result);
--- a/src/mesh/entry_call.cpp
+++ b/src/mesh/entry_call.cpp
@@ -218,7 +218,8 @@
 }
 
 bool EntryCall::mayRetry(const Answer &Result) {
-  if (CallerGone_ || Attempt_ >= MaxAttempts || timeLeft() < MinAttemptTime)
+  if (CallerGone_ || Attempt_ >= MaxAttempts || timeLeft() < MinAttemptTime ||
+      Owner_.mayOutlastDrain(timeLeft()))
     return false;
   const bool Served = Result.Outcome_ == Outcome::Served;
   if (Served && (Result.HttpStatus_ < 500 || !Call_.Idempotent_))
--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -19,11 +19,14 @@
 constexpr Duration TickInterval = std::chrono::milliseconds(100);
 /// The platform asks for readiness each second and takes a node out after two misses.
 constexpr Duration MinDrainTime = std::chrono::milliseconds(2300);
-/// Part of the grace period in which new requests are taken although they may not end in time. The
-/// platform lets a node break off only what it took in this part.
+/// New requests are taken although they may not end in time for this part of the grace period, but
+/// no longer than MaxAcceptTime. The platform lets a node break off only what it took in this time.
 constexpr double AcceptShare = 0.5;
-/// Kept back from the grace period for the answers of what is ended early.
+constexpr Duration MaxAcceptTime = std::chrono::seconds(3);
+/// Kept back from the grace period for the answers of what is ended early; at most AbortShare of
+/// it, because the platform lets a node break off requests in the last sixth only.
 constexpr Duration AbortMargin = std::chrono::milliseconds(600);
+constexpr double AbortShare = 0.125;
 /// Time in which answers are written to callers and peers before the process ends.
 constexpr Duration WriteTime = std::chrono::milliseconds(150);
 /// Pipelined requests of one connection that run at the same time.
@@ -111,6 +114,12 @@
     return CallerServer_.start();
   }
 
+  /// Time from the signal after which requests that still run are ended.
+  Duration abortTime() const {
+    const Duration Grace = Config_.Mesh_->GracePeriod_;
+    return Grace - std::min(AbortMargin, std::chrono::duration_cast<Duration>(Grace * AbortShare));
+  }
+
   void shutdown() {
     if (Draining_) {
       stopAll();
@@ -121,9 +130,9 @@
     Events_.write(DrainStart_, EventClass::Belief, "node", "stopping",
                   {{"requests", Entry_.running()}, {"calls", Gate_.running()}});
     CallerServer_.announceClose();
-    const Duration Grace = Config_.Mesh_->GracePeriod_;
-    Entry_.drain(DrainStart_ + std::chrono::duration_cast<Duration>(Grace * AcceptShare),
-                 DrainStart_ + Grace - AbortMargin);
+    const auto AcceptTime =
+        std::chrono::duration_cast<Duration>(Config_.Mesh_->GracePeriod_ * AcceptShare);
+    Entry_.drain(DrainStart_ + std::min(AcceptTime, MaxAcceptTime), DrainStart_ + abortTime());
     Gate_.drain();
     Shares_.drain();
     for (const HostId &Host : Fleet_.servers().hosts())
@@ -164,7 +173,7 @@
   /// \return whether the end of the process is on its way.
   bool drain(TimePoint Now) {
     const Duration Time = Now - DrainStart_;
-    const bool Late = Time >= Config_.Mesh_->GracePeriod_ - AbortMargin;
+    const bool Late = Time >= abortTime();
     if (!Late && (Time < MinDrainTime || !isIdle()))
       return false;
     CallerServer_.drain();
--- a/tests/unit/mesh_backend_fixture.h
+++ b/tests/unit/mesh_backend_fixture.h
@@ -74,9 +74,11 @@
     Clients_.push_back(
         std::make_unique<node::HttpClient>(Io_, node::Endpoint{hostOf(Index), CallerPort_}, 1));
     Clients_.back()->send(std::move(Request), Deadline + std::chrono::seconds(1),
-                          [Result](node::HttpResult, node::HttpResponse Response) {
+                          [Result](node::HttpResult Outcome, node::HttpResponse Response) {
                             Result->Ended_ = true;
                             Result->Response_ = std::move(Response);
+                            if (Outcome != node::HttpResult::Answered)
+                              Result->Response_.Status_ = 0;
                           });
     return Result;
   }
--- a/tests/unit/mesh_fixture.h
+++ b/tests/unit/mesh_fixture.h
@@ -26,6 +26,7 @@
   using milliseconds = std::chrono::milliseconds;
 
   boost::asio::io_context Io_;
+  Duration GracePeriod_ = std::chrono::seconds(6); ///< of the nodes that are started from now on
   const std::uint16_t StorePort_ = freePort();
   const std::uint16_t CallerPort_ = freePort();
   const std::uint16_t PeerPort_ = freePort();
@@ -54,6 +55,7 @@
     Config.Mesh_.emplace();
     Config.Mesh_->Store_ = {"127.0.0.1", StorePort.value_or(StorePort_)};
     Config.Mesh_->Regions_ = {{"z", "r"}, {"far", "q"}};
+    Config.Mesh_->GracePeriod_ = GracePeriod_;
     Nodes_.push_back(std::make_unique<node::MeshNode>(
         Io_, Config, platform::headerNames(),
         [](boost::asio::io_context &Io, const node::Settings &Values, node::FleetState &Fleet,
@@ -100,8 +102,11 @@
   template <typename Condition>
   bool runUntil(Condition Holds, milliseconds Limit = std::chrono::seconds(5)) {
     const auto End = std::chrono::steady_clock::now() + Limit;
-    while (!Holds() && std::chrono::steady_clock::now() < End)
+    while (!Holds() && std::chrono::steady_clock::now() < End) {
+      if (Io_.stopped())
+        Io_.restart(); // a node that ends stops the event loop
       Io_.run_one_for(milliseconds(20));
+    }
     return Holds();
   }
   /// Sends a request to a node and returns the status; 0 if there is no answer.
