Refuse queued calls of other nodes as not run when a node stops

What callers saw: a call that waited at a stopping node until the end of its grace period ended as cancelled (499), which nobody had asked for, and was not sent to another server.

Cause: the gate ended queued calls as if their entry had cancelled them.

Change: they are refused as shutting_down, which is not run; the entry sends them elsewhere or reports 503.

--- a/src/mesh/backend_gate.cpp
+++ b/src/mesh/backend_gate.cpp
@@ -395,8 +395,9 @@
     dispatch();
 }
 
-void BackendGate::cancel(const HostId &Caller, CallId Id) {
-  const CallKey Key(Caller, Id);
+void BackendGate::cancel(const HostId &Caller, CallId Id) { end({Caller, Id}, Refusal::Cancelled); }
+
+void BackendGate::end(const CallKey &Key, Refusal Reason) {
   const auto Found = Calls_.find(Key);
   if (Found == Calls_.end())
     return;
@@ -405,7 +406,7 @@
     return;
   }
   Queue_.erase(Found->second.QueueNumber_);
-  finish(Key, Answer::refused(Id, Refusal::Cancelled));
+  finish(Key, Answer::refused(Key.second, Reason));
 }
 
 void BackendGate::abort() {
@@ -413,7 +414,7 @@
   for (const auto &[Key, Current] : Calls_)
     Keys.push_back(Key);
   for (const CallKey &Key : Keys)
-    cancel(Key.first, Key.second);
+    end(Key, Refusal::ShuttingDown);
 }
 
 void BackendGate::scheduleExpiry() {
--- a/src/mesh/backend_gate.h
+++ b/src/mesh/backend_gate.h
@@ -34,7 +34,7 @@
   void noteDownstreamLevel(const ServiceId &Service, ShedLevel Level);
   /// Refuses new calls from now on; queued and running calls are finished.
   void drain() { Draining_ = true; }
-  /// Cancels all queued and running calls.
+  /// Cancels all running calls and refuses the queued ones, because the node is stopping.
   void abort();
   std::size_t running() const { return Calls_.size(); }
   BackendLoad load() const;
@@ -87,6 +87,8 @@
   /// Forgets the limit of an earlier run of the server.
   void checkServerRun();
   void finish(const CallKey &Key, Answer Result);
+  /// Ends a call early. \param Reason given if it has not been sent to the server.
+  void end(const CallKey &Key, Refusal Reason);
   void expire();
   void scheduleExpiry();
 
--- a/tests/unit/mesh_stop_test.cpp
+++ b/tests/unit/mesh_stop_test.cpp
@@ -93,3 +93,29 @@
   CHECK((!Run || Input.rfind("HTTP/1.1 200", 0) == 0));
   Socket.close(Failure);
 }
+
+// Guards against a call that waits at a stopping node and ends as cancelled by its caller, which
+// has not cancelled it.
+TEST_CASE_METHOD(MeshStopFixture, "mesh_stop_queued_call_of_other_node_is_refused_as_not_run") {
+  restart(2s);
+  Backends_[0]->MoreHeaders_ = {{"Server-Limit", "0.1"}};
+  for (std::size_t Index = 1; Index < ServerCount; ++Index) {
+    Backends_[Index]->RestartAfter_ = 60s;
+    Backends_[Index]->crash();
+  }
+  call(0, "/safe/first"); // names the limit
+  std::vector<ReplyPtr> Waiting;
+  for (std::size_t Number = 0; Number < 3; ++Number)
+    Waiting.push_back(sendTo(1, "/once/" + std::to_string(Number), "b", 60s));
+  wait(200ms);
+  stopNode();
+  waitUntil(1900ms);
+  std::size_t Queued = 0;
+  for (std::size_t Number = 0; Number < Waiting.size(); ++Number) {
+    if (runsOf("/once/" + std::to_string(Number)) != 0)
+      continue;
+    ++Queued;
+    CHECK(Waiting[Number]->status() == 503);
+  }
+  CHECK(Queued >= 1);
+}
