Send calls elsewhere that would wait long for a server's limit

What callers saw: on capped.toml many answers came late, because calls queued at limited servers for up to half of their latency objective although another server had room.

Cause: the time until the limit allows a call counted as queueing time, for which half of the objective is allowed. A longer queue makes no better use of a rate: it only has to be non-empty when the next call is allowed.

Change: a call waits for a limit for at most 15 % of its objective, or until the limit allows one more call.

--- a/src/mesh/backend_gate.cpp
+++ b/src/mesh/backend_gate.cpp
@@ -24,6 +24,9 @@
 /// call that won't be served should be refused at once instead of waiting.
 constexpr double MaxWaitShare = 0.5;
 constexpr double MinWaitShare = 0.1;
+/// Part of its latency objective for which a call may wait because of a limit that the server
+/// names, but at least until the limit allows one more call.
+constexpr double MaxRateWaitShare = 0.15;
 /// A server counts as making calls if it makes at least OwnCallShare calls per request that it
 /// served, because a few requests of other callers on open routes look like its calls. Until it has
 /// served MinServed requests, it is assumed to make calls.
@@ -90,13 +93,27 @@
 
 Duration BackendGate::expectedWait(const Call &Request) const {
   const unsigned Limit = limit();
-  const std::size_t Ahead = Queue_.ahead(Request.Standing_.ClassRank_, Request.Team_) + 1;
-  const Duration RateWait = Rate_.timeUntil(now(), Ahead);
   if (InFlight_ < Limit)
-    return RateWait;
-  return std::max<Duration>(RateWait,
-                            std::chrono::microseconds(static_cast<std::int64_t>(
-                                MeanSeconds_ * 1e6 * static_cast<double>(Ahead) / Limit)));
+    return Duration::zero();
+  return std::chrono::microseconds(static_cast<std::int64_t>(
+      MeanSeconds_ * 1e6 * static_cast<double>(callsUntil(Request)) / Limit));
+}
+
+std::size_t BackendGate::callsUntil(const Call &Request) const {
+  return Queue_.ahead(Request.Standing_.ClassRank_, Request.Team_) + 1;
+}
+
+// Calls that wait longer make no better use of the rate, and another server may have room.
+bool BackendGate::fitsRate(const Call &Request) const {
+  if (!Rate_.rate())
+    return true;
+  const Duration Wait = Rate_.timeUntil(now(), callsUntil(Request));
+  const std::chrono::duration<double> Interval(1.0 / *Rate_.rate());
+  const auto Most =
+      std::max(std::chrono::duration_cast<Duration>(Request.Objective_ * MaxRateWaitShare),
+               std::chrono::duration_cast<Duration>(Interval));
+  return Wait <= std::min(Most, allowedWait(Request)) &&
+         Wait + meanServiceTime(Request) <= Request.TimeLeft_;
 }
 
 // A server may keep running for a while after the platform has removed its entry, and other nodes,
@@ -128,6 +145,8 @@
     return Refusal::NoBackendServer;
   if (Request.TimeLeft_ < MinTimeLeft)
     return Refusal::DeadlineTooShort;
+  if (!fitsRate(Request))
+    return Refusal::Overloaded;
   const Duration Wait = expectedWait(Request);
   if (Wait == Duration::zero())
     return std::nullopt;
--- a/src/mesh/backend_gate.h
+++ b/src/mesh/backend_gate.h
@@ -67,6 +67,10 @@
   Duration meanServiceTime(const Call &Request) const;
   Duration expectedWait(const Call &Request) const;
   Duration allowedWait(const Call &Request) const;
+  /// Returns the calls that are sent until a call has been, including it.
+  std::size_t callsUntil(const Call &Request) const;
+  /// Returns whether a call may wait until the limit that the server names allows it.
+  bool fitsRate(const Call &Request) const;
   std::optional<Refusal> findRefusal(const Call &Request) const;
   void dispatch();
   /// Returns why a call that leaves the queue is not sent, if it is not.
