Look through waiting suspects only when a suspect has ended

The end of any call made the guard ask for each waiting suspect whether it may run, each time over all running calls. Only the end of a suspect changes the answer; a tick every 100 ms covers the rest.

--- a/src/node/crash_guard.cpp
+++ b/src/node/crash_guard.cpp
@@ -113,11 +113,12 @@
   const auto Found = Running_.find(Key);
   if (Found == Running_.end())
     return;
-  const CallId Number = Found->second.Number_;
+  const RunningCall Ended = Found->second;
   Running_.erase(Found);
-  send(Quarantine_.finished(now(), Number, Served));
+  const bool Suspect = !Quarantine_.crashesOf(now(), Ended.Fingerprint_, Ended.Team_).empty();
+  send(Quarantine_.finished(now(), Ended.Number_, Served));
   // Posted, because the caller of leave() is still in the middle of ending the call.
-  if (!Waiting_.empty())
+  if (Suspect && !Waiting_.empty())
     boost::asio::post(Io_, [this] { admitWaiting(); });
 }
 
