--- a/tests/unit/mesh_backend_fixture.h
+++ b/tests/unit/mesh_backend_fixture.h
@@ -62,7 +62,7 @@
   /// Sends a request to the node at a position; the reply is filled in while the event loop runs.
   ReplyPtr sendTo(std::size_t Index, const std::string &Target, const std::string &Body = "",
                   milliseconds Deadline = std::chrono::seconds(2)) {
-    const auto Result = std::make_shared<Reply>();
+    auto Result = std::make_shared<Reply>();
     node::HttpRequest Request;
     Request.Method_ = Body.empty() ? "GET" : "POST";
     Request.Target_ = Target;
@@ -84,7 +84,7 @@
   }
   /// Sends a request and waits for the answer.
   ReplyPtr call(std::size_t Index, const std::string &Target, const std::string &Body = "") {
-    const ReplyPtr Result = sendTo(Index, Target, Body);
+    ReplyPtr Result = sendTo(Index, Target, Body);
     runUntil([&] { return Result->Ended_; });
     return Result;
   }
