--- a/tests/unit/mesh_stop_test.cpp
+++ b/tests/unit/mesh_stop_test.cpp
@@ -45,6 +45,7 @@
   CHECK(runUntil([&] { return Late->Ended_; }, 500ms));
   CHECK(Late->status() == 503);
   CHECK(runsOf("/once/late") == 0);
+  CHECK(runUntil([&] { return Earlier->Ended_; }, 6s));
 }
 
 // Guards against a request that can end within the grace period and is refused.
