--- a/tests/unit/mesh_limit_test.cpp
+++ b/tests/unit/mesh_limit_test.cpp
@@ -114,6 +114,7 @@
     load(60.0, 1s);
   }
   CHECK(static_cast<double>(mostArrivals(0, Start)) <= allowed(5.0));
+  CHECK(allEnded()); // also releases what still runs
 }
 
 // Guards against a limit that outlasts the answers that name it.
