--- a/review/harness/harness.cpp
+++ b/review/harness/harness.cpp
@@ -388,6 +388,7 @@
       Body = {{"events", Events}, {"CurrentRev", Rev_}};
     }
     Lock.unlock();
+    sleepSeconds(AnswerS_);
     if (!From.write(response(200, {"Content-Type: application/json"}, Body.dump())))
       return;
   }
--- a/review/harness/harness.h
+++ b/review/harness/harness.h
@@ -118,6 +118,8 @@
   int port() const { return Port_; }
   const std::string &ip() const { return Ip_; }
 
+  double AnswerS_ = 0.0; ///< time before each answer
+
 private:
   struct Event {
     std::uint64_t Rev_;
