--- a/review/harness/harness.cpp
+++ b/review/harness/harness.cc
@@ -1,4 +1,4 @@
-#include "harness.h"
+#include "harness.hpp"
 
 #include <arpa/inet.h>
 #include <fcntl.h>
@@ -52,9 +52,8 @@
   for (std::size_t Index = 0; Index < In.size(); Index += 3) {
     unsigned Group = 0;
     for (std::size_t Byte = 0; Byte < 3; ++Byte)
-      Group = Group << 8U | (Index + Byte < In.size()
-                                 ? static_cast<unsigned char>(In[Index + Byte])
-                                 : 0U);
+      Group = Group << 8U |
+              (Index + Byte < In.size() ? static_cast<unsigned char>(In[Index + Byte]) : 0U);
     for (std::size_t Digit = 0; Digit < 4; ++Digit)
       Out.push_back(Index + Digit > In.size() ? '=' : Letters[Group >> (18 - 6 * Digit) & 63U]);
   }
@@ -246,8 +245,9 @@
   }
   if (!Line)
     return std::nullopt;
-  const auto Body = From.bytes(
-      static_cast<std::size_t>(std::atoll(Result.header("content-length").c_str())), End - seconds());
+  const auto Body =
+      From.bytes(static_cast<std::size_t>(std::atoll(Result.header("content-length").c_str())),
+                 End - seconds());
   if (!Body)
     return std::nullopt;
   Result.Body_ = *Body;
@@ -396,9 +396,8 @@
 
 Backend::Backend(Store &Platform, std::string Id, std::string Service, std::string Zone,
                  std::string Ip, int Port, double WorkS, std::size_t AnswerBytes)
-    : Platform_(Platform), Id_(std::move(Id)), Service_(std::move(Service)),
-      Zone_(std::move(Zone)), Ip_(std::move(Ip)), Port_(Port), WorkS_(WorkS),
-      AnswerBytes_(AnswerBytes),
+    : Platform_(Platform), Id_(std::move(Id)), Service_(std::move(Service)), Zone_(std::move(Zone)),
+      Ip_(std::move(Ip)), Port_(Port), WorkS_(WorkS), AnswerBytes_(AnswerBytes),
       BornMs_(static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(
                                              std::chrono::system_clock::now().time_since_epoch())
                                              .count())) {
@@ -406,13 +405,13 @@
 }
 
 void Backend::announce() {
-  Platform_.put("servers/" + Id_,
-                json{{"Address", Ip_ + ":" + std::to_string(Port_)},
-                     {"Info",
-                      {{"Service", Service_}, {"Version", "v1"}, {"Zone", Zone_}, {"Slots", Slots_}}},
-                     {"Status", {{"State", "ready"}, {"Sequence", 1}, {"ColdRemainingMs", 0}}},
-                     {"born", BornMs_}}
-                    .dump());
+  Platform_.put(
+      "servers/" + Id_,
+      json{{"Address", Ip_ + ":" + std::to_string(Port_)},
+           {"Info", {{"Service", Service_}, {"Version", "v1"}, {"Zone", Zone_}, {"Slots", Slots_}}},
+           {"Status", {{"State", "ready"}, {"Sequence", 1}, {"ColdRemainingMs", 0}}},
+           {"born", BornMs_}}
+          .dump());
 }
 
 std::vector<Backend::Run> Backend::runs() {
@@ -451,7 +450,8 @@
 
 Node::Node(const std::string &Ip, const std::string &Zone, const std::string &Service,
            const Store &Platform, const Ports &Used, const std::string &Folder)
-    : Ip_(Ip), Ports_(Used), Settings_(Folder + "/" + Ip + ".yaml"), Log_(Folder + "/" + Ip + ".log") {
+    : Ip_(Ip), Ports_(Used), Settings_(Folder + "/" + Ip + ".yaml"),
+      Log_(Folder + "/" + Ip + ".log") {
   const auto At = [&](int Port) { return Ip + ":" + std::to_string(Port); };
   const std::map<std::string, std::string> Values{
       {"Ip", Ip},
@@ -526,8 +526,8 @@
 }
 
 bool Node::isReady() const {
-  return call(Ip_, Ports_.Ready_,
-              "GET /healthz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", 1.0) == 200;
+  return call(Ip_, Ports_.Ready_, "GET /healthz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n",
+              1.0) == 200;
 }
 
 void Node::waitReady(double Limit) {
@@ -562,11 +562,10 @@
   Result["Routes"]["Columns"] =
       Row({"Name", "Host", "Prefix", "Kind", "TimeoutMs", "TargetLatencyMs", "Priority",
            "TrafficSplit", "MaxAttempts", "Public", "Service"});
-  Result["Routes"]["Rows"] =
-      Row({Row({"r-safe", "hulo84.example", "/safe/", "safe", 5000, 1500, 2, nullptr, 2, false,
-                Service}),
-           Row({"r-unsafe", "hulo84.example", "/unsafe/", "unsafe", 5000, 2000, 0, nullptr, 2,
-                false, Service})});
+  Result["Routes"]["Rows"] = Row({Row({"r-safe", "hulo84.example", "/safe/", "safe", 5000, 1500, 2,
+                                       nullptr, 2, false, Service}),
+                                  Row({"r-unsafe", "hulo84.example", "/unsafe/", "unsafe", 5000,
+                                       2000, 0, nullptr, 2, false, Service})});
   Result["Services"]["Columns"] = Row({"Name", "HealthPath", "MaxConnections", "Protocol", "Tls"});
   Result["Services"]["Rows"].push_back(Row({Service, "/health", 316, "h1", false}));
   Result["Limits"] = {{"MaxHeaderBytes", 16384},
--- a/review/harness/harness.h
+++ b/review/harness/harness.hpp
@@ -72,7 +72,7 @@
 
 /// A request or a response.
 struct Message {
-  std::string First_; ///< request line or status line
+  std::string First_;                          ///< request line or status line
   std::map<std::string, std::string> Headers_; ///< names in lower case
   std::string Body_;
   std::string header(const std::string &Name) const;
