Review case 1: large entries of another writer stop all nodes from following the store

A script: three nodes, a store that keeps 20 s of history, six entries of 1,000,000 bytes, then a key is taken away.

It takes the place of the case of the limits before the configuration; the others move down by gravity.

--- a/review/build.sh
+++ b/review/build.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the programs of the cases, with all stand-ins, into review/bin. Case 4 is a day for the bench.
+# Builds the programs of the cases, with all stand-ins, into review/bin. Case 5 is a day for the bench.
 set -e
 cd "$(dirname "$0")"
 mkdir -p bin
--- a/review/harness/harness.cc
+++ b/review/harness/harness.cc
@@ -46,6 +46,10 @@
   return -1;
 }
 
+/// The store keeps its history for this time, and ends a page of a listing at this size.
+constexpr double HistoryS = 20.0;
+constexpr std::size_t PageBytes = 1'000'000;
+
 std::string base64(const std::string &In) {
   static const char Letters[] = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
   std::string Out;
@@ -325,14 +329,14 @@
 void Store::put(const std::string &Key, const std::string &Value) {
   const std::lock_guard<std::mutex> Lock(Mutex_);
   Items_[Key] = {Value, ++Rev_};
-  Events_.push_back({Rev_, Key, false, Value});
+  Events_.push_back({seconds(), Rev_, Key, false, Value});
   Changed_.notify_all();
 }
 
 void Store::remove(const std::string &Key) {
   const std::lock_guard<std::mutex> Lock(Mutex_);
   if (Items_.erase(Key) != 0)
-    Events_.push_back({++Rev_, Key, true, {}});
+    Events_.push_back({seconds(), ++Rev_, Key, true, {}});
   Changed_.notify_all();
 }
 
@@ -362,16 +366,29 @@
     if (Target.rfind("/api/kv-range", 0) == 0) {
       json Items = json::array();
       const auto After = Query.find("after");
-      for (const auto &[Key, Value] : Items_)
-        if (After == Query.end() || Key > After->second)
-          Items.push_back(item(Key));
-      Body = {{"items", Items}, {"MorePages", false}, {"CurrentRev", Rev_}};
+      auto Item = After == Query.end() ? Items_.begin() : Items_.upper_bound(After->second);
+      for (std::size_t Bytes = 0; Item != Items_.end() && Bytes < PageBytes; ++Item) {
+        Items.push_back(item(Item->first));
+        Bytes += Item->second.first.size();
+      }
+      Body = {{"items", Items}, {"MorePages", Item != Items_.end()}, {"CurrentRev", Rev_}};
     } else {
       const std::uint64_t After = std::stoull(Query.at("after"));
       Changed_.wait_for(Lock, std::chrono::milliseconds(std::stol(Query.at("WaitMs"))),
                         [&] { return Cuts_ != Cuts || Rev_ > After; });
       if (Cuts_ != Cuts)
         return;
+      const double Oldest = seconds() - HistoryS;
+      while (!Events_.empty() && Events_.front().At_ < Oldest) {
+        Forgotten_ = Events_.front().Rev_;
+        Events_.pop_front();
+      }
+      if (After < Forgotten_) {
+        Lock.unlock();
+        if (!From.write(response(410, {}, "")))
+          return;
+        continue;
+      }
       json Events = json::array();
       for (const Event &Item : Events_) {
         if (Item.Rev_ <= After)
--- a/review/harness/harness.hpp
+++ b/review/harness/harness.hpp
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <chrono>
 #include <condition_variable>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -122,6 +123,7 @@
 
 private:
   struct Event {
+    double At_;
     std::uint64_t Rev_;
     std::string Key_;
     bool Removed_;
@@ -134,8 +136,9 @@
   std::mutex Mutex_;
   std::condition_variable Changed_;
   std::map<std::string, std::pair<std::string, std::uint64_t>> Items_;
-  std::vector<Event> Events_;
+  std::deque<Event> Events_;
   std::uint64_t Rev_ = 100;
+  std::uint64_t Forgotten_ = 0; ///< revision of the last event that is no longer kept
   bool Down_ = false;
   std::uint64_t Cuts_ = 0;
   std::unique_ptr<Listener> Listener_;
