Move the sessions of the HTTP server to files of their own

Nothing else changes: SessionBase is now HttpSession, ServerState HttpServerState, and makeHttpSession() makes a session and adds it to its server's list.

--- /dev/null
+++ b/src/node/http_session.cpp
@@ -0,0 +1,387 @@
+#include "node/http_session.h"
+
+#include <algorithm>
+#include <deque>
+#include <iterator>
+#include <optional>
+
+#include <sys/socket.h>
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+namespace bronzestand::node::detail {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+/// Received bytes beyond a header that a connection buffers. Bounds trailers, which the parser does
+/// not limit and needs in the buffer.
+constexpr std::size_t ReadAheadBytes = 64UL * 1024;
+
+/// Maps a parse error to the refusal that the caller gets.
+Refusal refusalOf(const error_code &Failure) {
+  if (Failure == http::error::header_limit || Failure == http::error::buffer_overflow)
+    return Refusal::HeaderTooLarge;
+  if (Failure == http::error::body_limit)
+    return Refusal::BodyTooLarge;
+  return Refusal::BadRequest;
+}
+
+/// Tells whether the length of the body and the host are stated in one way only. The parser lets
+/// some other forms pass, which a second parser may read differently.
+bool isUnambiguous(const http::request<http::string_body> &Message) {
+  const auto Length = Message.equal_range(http::field::content_length);
+  if (std::distance(Length.first, Length.second) > 1)
+    return false;
+  const auto Stated = Message[http::field::content_length];
+  if (std::any_of(Stated.begin(), Stated.end(), [](char C) { return C < '0' || C > '9'; }))
+    return false;
+  const auto Encoding = Message.equal_range(http::field::transfer_encoding);
+  if (std::distance(Encoding.first, Encoding.second) > 1)
+    return false;
+  if (Encoding.first != Encoding.second && !beast::iequals(Encoding.first->value(), "chunked"))
+    return false;
+  return Message.version() < 11 || Message.count(http::field::host) == 1;
+}
+
+bool isParseError(const error_code &Failure) {
+  return Failure.category() == http::make_error_code(http::error::bad_method).category() &&
+         Failure != http::error::end_of_stream && Failure != http::error::partial_message;
+}
+
+/// One connection. Requests are read ahead up to the pipelining limit; a slot holds the place of
+/// each answer until all earlier ones are written.
+class Session final : public HttpSession {
+public:
+  Session(tcp::socket Socket, std::shared_ptr<HttpServerState> State)
+      : Socket_(std::move(Socket)), State_(std::move(State)) {}
+
+  void readFirst() override { readRequest(); }
+  void respond(std::uint64_t RequestNumber, HttpResponse Response);
+  void setCancel(std::uint64_t RequestNumber, std::function<void()> Callback);
+  void close() override;
+  bool isIdle() override { return Slots_.empty() && !Writing_ && !Receiving_ && !hasInput(); }
+  bool isNew() const override { return LastNumber_ == 0; }
+  void closeUnlessUsed(std::chrono::milliseconds Limit) override;
+  void checkTimeouts(Clock::time_point Now) override;
+
+private:
+  friend class Exchange;
+  using Parser = http::request_parser<http::string_body>;
+  struct Slot {
+    std::uint64_t Number_ = 0;
+    bool KeepAlive_ = true;
+    std::optional<HttpResponse> Response_;
+    std::function<void()> Cancel_;
+  };
+
+  bool hasInput();
+  Slot *find(std::uint64_t Number);
+  Slot &addSlot(bool KeepAlive);
+  void readRequest();
+  void readHeader();
+  void onHeader(const error_code &Failure);
+  void onRead(const error_code &Failure);
+  void refuse(Refusal Reason);
+  void handle();
+  void readMore();
+  void writeNext();
+  void onWritten(const error_code &Failure, bool KeepAlive);
+  void onCallerGone();
+
+  tcp::socket Socket_;
+  std::shared_ptr<HttpServerState> State_;
+  beast::flat_buffer Buffer_;
+  std::optional<Parser> Parser_;
+  std::deque<Slot> Slots_;
+  std::string Output_;
+  std::uint64_t LastNumber_ = 0;
+  /// When the pending read or write ends the connection; max() if nothing limits it.
+  Clock::time_point ReadLimit_ = Clock::time_point::max();
+  Clock::time_point WriteLimit_ = Clock::time_point::max();
+  bool Reading_ = false;
+  bool Watching_ = false;  ///< waits for input or the end of the connection, without reading
+  bool Receiving_ = false; ///< a request has arrived in part
+  bool Writing_ = false;
+  bool NoMore_ = false; ///< no further request is read
+  bool Closed_ = false;
+};
+using SessionPtr = boost::intrusive_ptr<Session>;
+
+class Exchange final : public HttpExchange {
+public:
+  Exchange(SessionPtr Owner, std::uint64_t Number) : Owner_(std::move(Owner)), Number_(Number) {}
+  ~Exchange() override {
+    // A handler that drops the exchange must not leave the caller without an answer.
+    Owner_->respond(Number_, refusalResponse(Refusal::ConnectionLost, RequestId()));
+  }
+  void respond(HttpResponse Response) override { Owner_->respond(Number_, std::move(Response)); }
+  void onCancelled(std::function<void()> Callback) override {
+    Owner_->setCancel(Number_, std::move(Callback));
+  }
+
+private:
+  SessionPtr Owner_;
+  std::uint64_t Number_;
+};
+
+bool hasNoBody(unsigned Status) { return Status < 200 || Status == 204 || Status == 304; }
+
+std::string serialize(const HttpResponse &Response, bool KeepAlive) {
+  std::string Text = "HTTP/1.1 " + std::to_string(Response.Status_) + " ";
+  const beast::string_view Reason = http::obsolete_reason(http::int_to_status(Response.Status_));
+  Text.append(Reason.data(), Reason.size()).append("\r\n");
+  for (const Header &Field : Response.Headers_)
+    if (!isHopByHop(Field.Name_))
+      Text.append(Field.Name_).append(": ").append(Field.Value_).append("\r\n");
+  if (!KeepAlive)
+    Text.append("Connection: close\r\n");
+  if (!hasNoBody(Response.Status_))
+    Text.append("Content-Length: ").append(std::to_string(Response.Body_.size())).append("\r\n");
+  Text.append("\r\n");
+  if (!hasNoBody(Response.Status_))
+    Text.append(Response.Body_);
+  return Text;
+}
+
+bool Session::hasInput() {
+  error_code Failure;
+  return Buffer_.size() != 0 || (Socket_.available(Failure) != 0 && !Failure);
+}
+
+Session::Slot *Session::find(std::uint64_t Number) {
+  const auto Found = std::find_if(Slots_.begin(), Slots_.end(),
+                                  [&](const Slot &Item) { return Item.Number_ == Number; });
+  return Found == Slots_.end() ? nullptr : &*Found;
+}
+
+Session::Slot &Session::addSlot(bool KeepAlive) {
+  ++State_->RunningRequests_;
+  Slots_.emplace_back();
+  Slots_.back().Number_ = ++LastNumber_;
+  Slots_.back().KeepAlive_ = KeepAlive;
+  return Slots_.back();
+}
+
+void Session::closeUnlessUsed(std::chrono::milliseconds Limit) {
+  const auto Timer = std::make_shared<asio::steady_timer>(Socket_.get_executor(), Limit);
+  Timer->async_wait([Self = SessionPtr(this), Timer](error_code) {
+    if (Self->isIdle())
+      Self->close();
+  });
+}
+
+void Session::checkTimeouts(Clock::time_point Now) {
+  if (Now >= ReadLimit_ || Now >= WriteLimit_)
+    close();
+}
+
+void Session::readRequest() {
+  Reading_ = true;
+  Receiving_ = Buffer_.size() != 0;
+  Parser_.emplace();
+  Parser_->header_limit(State_->Limits_.HeaderBytes_);
+  Parser_->body_limit(State_->Limits_.BodyBytes_);
+  Buffer_.max_size(State_->Limits_.HeaderBytes_ + ReadAheadBytes);
+  // A connection with unanswered requests is not idle.
+  if (Slots_.empty())
+    ReadLimit_ =
+        Clock::now() + (Receiving_ ? State_->Limits_.HeaderTimeout_ : State_->Limits_.IdleTimeout_);
+  else
+    ReadLimit_ = Clock::time_point::max();
+  if (Receiving_) {
+    readHeader();
+    return;
+  }
+  // The time for the header counts from its first byte.
+  Socket_.async_wait(tcp::socket::wait_read, [Self = SessionPtr(this)](error_code Failure) {
+    if (Failure || Self->Closed_) {
+      Self->onHeader(Failure);
+      return;
+    }
+    Self->ReadLimit_ = Clock::now() + Self->State_->Limits_.HeaderTimeout_;
+    Self->readHeader();
+  });
+}
+
+void Session::readHeader() {
+  http::async_read_header(
+      Socket_, Buffer_, *Parser_,
+      [Self = SessionPtr(this)](error_code Failure, std::size_t) { Self->onHeader(Failure); });
+}
+
+void Session::onHeader(const error_code &Failure) {
+  if (Failure) {
+    onRead(Failure);
+    return;
+  }
+  Receiving_ = true;
+  ReadLimit_ = Clock::now() + State_->Limits_.ReadTimeout_;
+  http::async_read(
+      Socket_, Buffer_, *Parser_,
+      [Self = SessionPtr(this)](error_code Failed, std::size_t) { Self->onRead(Failed); });
+}
+
+void Session::onRead(const error_code &Failure) {
+  Reading_ = false;
+  Receiving_ = false;
+  ReadLimit_ = Clock::time_point::max();
+  if (Closed_)
+    return;
+  if (!Failure)
+    handle();
+  else if (isParseError(Failure))
+    refuse(refusalOf(Failure));
+  else
+    onCallerGone();
+}
+
+void Session::onCallerGone() {
+  NoMore_ = true;
+  const bool HasAnswers = Writing_ || (!Slots_.empty() && Slots_.front().Response_);
+  // Answers that are ready are still written, because the caller may have closed one side only.
+  std::vector<std::function<void()>> Callbacks;
+  for (Slot &Item : Slots_)
+    if (Item.Cancel_)
+      Callbacks.push_back(std::exchange(Item.Cancel_, nullptr));
+  const SessionPtr Keep(this);
+  for (const auto &Callback : Callbacks)
+    Callback();
+  if (Slots_.empty() || (!HasAnswers && !Callbacks.empty()))
+    close();
+}
+
+void Session::refuse(Refusal Reason) {
+  NoMore_ = true;
+  const std::uint64_t Number = addSlot(false).Number_;
+  respond(Number, refusalResponse(Reason, RequestId()));
+}
+
+void Session::handle() {
+  auto Message = Parser_->release();
+  if (!isUnambiguous(Message)) {
+    refuse(Refusal::BadRequest);
+    return;
+  }
+  NoMore_ = !Message.keep_alive();
+  const std::uint64_t Number = addSlot(Message.keep_alive()).Number_;
+  HttpRequest Request;
+  Request.Method_ = std::string(Message.method_string());
+  Request.Target_ = std::string(Message.target());
+  for (const auto &Field : Message)
+    Request.Headers_.push_back({std::string(Field.name_string()), std::string(Field.value())});
+  Request.Body_ = std::move(Message.body());
+  const HttpExchangePtr Current(new Exchange(SessionPtr(this), Number));
+  const SessionPtr Keep(this);
+  State_->Handler_(std::move(Request), Current);
+  readMore();
+}
+
+/// Reads on, also while requests run, because the end of the connection cancels them.
+void Session::readMore() {
+  if (Closed_ || Reading_)
+    return;
+  if (!NoMore_ && Slots_.size() < State_->Limits_.Pipelined_) {
+    readRequest();
+    return;
+  }
+  if (Slots_.empty() || Watching_)
+    return;
+  Watching_ = true;
+  Socket_.async_wait(tcp::socket::wait_read, [Self = SessionPtr(this)](error_code Failure) {
+    Self->Watching_ = false;
+    if (Self->Closed_ || Self->Reading_)
+      return;
+    char Byte = 0;
+    const ssize_t Count = ::recv(Self->Socket_.native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (Failure || Count == 0 || (Count < 0 && errno != EAGAIN))
+      Self->onCallerGone();
+    else if (!Self->NoMore_ && Self->Slots_.size() < Self->State_->Limits_.Pipelined_)
+      Self->readMore();
+  });
+}
+
+void Session::setCancel(std::uint64_t RequestNumber, std::function<void()> Callback) {
+  if (Slot *Item = find(RequestNumber); Item != nullptr && !Item->Response_)
+    Item->Cancel_ = std::move(Callback);
+}
+
+void Session::respond(std::uint64_t RequestNumber, HttpResponse Response) {
+  Slot *Item = find(RequestNumber);
+  if (Item == nullptr || Item->Response_)
+    return;
+  Item->Response_ = std::move(Response);
+  Item->Cancel_ = nullptr;
+  writeNext();
+}
+
+void Session::writeNext() {
+  if (Closed_ || Writing_ || Slots_.empty() || !Slots_.front().Response_)
+    return;
+  Slot Item = std::move(Slots_.front());
+  Slots_.pop_front();
+  --State_->RunningRequests_;
+  // A request that has arrived is still answered on this connection.
+  const bool Last = Slots_.empty() && !Receiving_ && !hasInput();
+  const bool KeepAlive = Item.KeepAlive_ && !Item.Response_->Close_ &&
+                         !((State_->Draining_ || State_->Closing_) && Last);
+  Output_ = serialize(*Item.Response_, KeepAlive);
+  Writing_ = true;
+  WriteLimit_ = Clock::now() + State_->Limits_.ReadTimeout_;
+  asio::async_write(Socket_, asio::buffer(Output_),
+                    [Self = SessionPtr(this), KeepAlive](error_code Failure, std::size_t) {
+                      Self->onWritten(Failure, KeepAlive);
+                    });
+}
+
+void Session::onWritten(const error_code &Failure, bool KeepAlive) {
+  Writing_ = false;
+  WriteLimit_ = Clock::time_point::max();
+  if (Closed_)
+    return;
+  if (Failure || !KeepAlive || (NoMore_ && Slots_.empty())) {
+    close();
+    return;
+  }
+  writeNext();
+  if (!Writing_ && Slots_.empty() && State_->Draining_ && !Receiving_ && !hasInput()) {
+    close();
+    return;
+  }
+  if (Slots_.empty() && Reading_ && !Receiving_ && !Writing_ && Buffer_.size() == 0)
+    ReadLimit_ = Clock::now() + State_->Limits_.IdleTimeout_;
+  readMore();
+}
+
+void Session::close() {
+  if (std::exchange(Closed_, true))
+    return;
+  const SessionPtr Keep(this);
+  error_code Ignored;
+  Socket_.shutdown(tcp::socket::shutdown_both, Ignored);
+  Socket_.close(Ignored);
+  State_->RunningRequests_ -= Slots_.size();
+  std::deque<Slot> Slots = std::move(Slots_);
+  Slots_.clear();
+  for (const Slot &Item : Slots)
+    if (Item.Cancel_)
+      Item.Cancel_();
+}
+
+} // namespace
+
+HttpSessionPtr makeHttpSession(tcp::socket Socket, std::shared_ptr<HttpServerState> State) {
+  HttpServerState &Shared = *State;
+  const HttpSessionPtr Item(new Session(std::move(Socket), std::move(State)));
+  Shared.Sessions_.push_back(*Item);
+  return Item;
+}
+
+} // namespace bronzestand::node::detail
