Log connections that are closed before their answers arrived

Three causes fit: the process ends while answers wait in the send buffer; the server closes with requests unread, which resets the connection at once; or it closes early and the next request of the caller meets a closed socket. The log could not tell them apart. The caller server now writes connection_cut with the bytes that the caller has not acknowledged and those that the server has not read.

--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -97,6 +97,12 @@
                     {{"calls", Report.Calls_}, {"quarantined", Report.Quarantined_}});
     });
     Fleet_.onConfig([this] { CallerServer_.setLimits(limitsOf(Fleet_.config().Limits_)); });
+    CallerServer_.onCut([this](const CutConnection &Item) {
+      Events_.write(now(), EventClass::Decision, "caller_server", "connection_cut",
+                    {{"unacknowledged_bytes", Item.UnacknowledgedBytes_},
+                     {"unread_bytes", Item.UnreadBytes_},
+                     {"draining", Draining_}});
+    });
     for (Part *Child : children())
       Supervisor_.add(*Child);
     Events_.write(now(), EventClass::Belief, "node", "started",
--- a/src/node/http_server.cpp
+++ b/src/node/http_server.cpp
@@ -51,6 +51,7 @@
   }
 
   void setLimits(const HttpServerLimits &Limits) { State_->Limits_ = Limits; }
+  void onCut(CutCallback Callback) { State_->OnCut_ = std::move(Callback); }
   void announceClose() { State_->Closing_ = true; }
 
   void drain() {
@@ -141,6 +142,7 @@
 HttpServer::~HttpServer() = default;
 absl::Status HttpServer::start() { return Impl_->start(); }
 void HttpServer::setLimits(const HttpServerLimits &Limits) { Impl_->setLimits(Limits); }
+void HttpServer::onCut(CutCallback Callback) { Impl_->onCut(std::move(Callback)); }
 void HttpServer::announceClose() { Impl_->announceClose(); }
 void HttpServer::drain() { Impl_->drain(); }
 void HttpServer::stop() { Impl_->stop(); }
--- a/src/node/http_server.h
+++ b/src/node/http_server.h
@@ -41,6 +41,13 @@
   std::size_t Pipelined_ = 1;
 };
 
+/// A connection that the server closed before its caller had acknowledged all answers.
+struct CutConnection {
+  std::size_t UnacknowledgedBytes_ = 0; ///< of answers that were handed to the system
+  std::size_t UnreadBytes_ = 0; ///< received and not read; the system then resets the connection
+};
+using CutCallback = std::function<void(const CutConnection &Item)>;
+
 /// HTTP/1.1 server with keep-alive and pipelining; answers leave in the order of their requests.
 /// Runs on one io_context thread.
 class HttpServer {
@@ -54,6 +61,8 @@
   absl::Status start();
   /// Replaces the limits; they hold for the requests that are read from now on.
   void setLimits(const HttpServerLimits &Limits);
+  /// Sets a callback for each connection that is closed while answers may be lost.
+  void onCut(CutCallback Callback);
   /// From now on each answer asks its caller to close the connection; new ones are still accepted.
   void announceClose();
   /// Stops accepting connections and closes idle ones; running requests are finished.
--- a/src/node/http_session.cpp
+++ b/src/node/http_session.cpp
@@ -11,6 +11,8 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "node/socket_bytes.h"
+
 namespace bronzestand::node::detail {
 
 namespace asio = boost::asio;
@@ -95,6 +97,7 @@
   void writeNext();
   void onWritten(const error_code &Failure, bool KeepAlive);
   void onCallerGone();
+  void reportCut();
 
   tcp::socket Socket_;
   std::shared_ptr<HttpServerState> State_;
@@ -360,10 +363,18 @@
   readMore();
 }
 
+void Session::reportCut() {
+  const int Descriptor = Socket_.native_handle();
+  const std::size_t Unacknowledged = unacknowledgedBytes(Descriptor).value_or(0);
+  if (Unacknowledged != 0 && State_->OnCut_)
+    State_->OnCut_({Unacknowledged, unreadBytes(Descriptor)});
+}
+
 void Session::close() {
   if (std::exchange(Closed_, true))
     return;
   const SessionPtr Keep(this);
+  reportCut();
   error_code Ignored;
   Socket_.shutdown(tcp::socket::shutdown_both, Ignored);
   Socket_.close(Ignored);
--- a/src/node/http_session.h
+++ b/src/node/http_session.h
@@ -38,6 +38,7 @@
 struct HttpServerState {
   HttpServerLimits Limits_;
   HttpHandler Handler_;
+  CutCallback OnCut_;
   HttpSessionList Sessions_;
   std::size_t RunningRequests_ = 0;
   bool Draining_ = false;
