Let other nodes receive their answers before the process ends

What callers saw: a node that stops ended 0.15 s after its last call. Answers that another node had not received by then were lost; the caller there got 502 or 504 for a request that had run.

Change: a stopping node waits while the other nodes acknowledge bytes, at most one second without progress (a peer that is cut off) and until 0.35 s before the end of the grace period.

Test: mesh_silence_of_caller_of_stopping_host_loses_no_answer, five answers of 3.9 MB to a node that is silent from 2 s to 2.9 s.

--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -1,5 +1,7 @@
 #include "mesh/mesh_node.h"
 
+#include <limits>
+
 #include "mesh/backend_gate.h"
 #include "mesh/entry.h"
 #include "mesh/link_watch.h"
@@ -27,8 +29,10 @@
 /// it, because the platform lets a node break off requests in the last sixth only.
 constexpr Duration AbortMargin = std::chrono::milliseconds(600);
 constexpr double AbortShare = 0.125;
-/// Time in which answers are written to peers before the process ends.
+/// Time in which callers and peers read what they have received before the process ends.
 constexpr Duration WriteTime = std::chrono::milliseconds(150);
+/// A stopping node waits no longer for peers that receive nothing for this time.
+constexpr Duration PeerWait = std::chrono::seconds(1);
 /// Callers that read slowly get their answers until this long before the end of the grace period.
 constexpr Duration EndMargin = std::chrono::milliseconds(350);
 /// Pipelined requests of one connection that run at the same time.
@@ -179,6 +183,16 @@
     return Entry_.running() == 0 && Gate_.running() == 0 && CallerServer_.runningRequests() == 0;
   }
 
+  /// Tells whether other nodes still receive what was sent to them.
+  bool arePeersReceiving(TimePoint Now) {
+    const std::size_t Left = Links_.unacknowledgedBytes();
+    if (Left < LeftForPeers_) {
+      LeftForPeers_ = Left;
+      PeersReceivedAt_ = Now;
+    }
+    return Left != 0 && Now - PeersReceivedAt_ < PeerWait;
+  }
+
   /// \return whether the end of the process is on its way.
   bool drain(TimePoint Now) {
     const Duration Time = Now - DrainStart_;
@@ -192,8 +206,9 @@
       Gate_.abort();
     }
     // A connection that was accepted before may still bring a request, and the end of the process
-    // cuts answers that callers are reading.
-    if (CallerServer_.connections() != 0 && Time < Config_.Mesh_->GracePeriod_ - EndMargin)
+    // cuts answers that callers or other nodes are reading.
+    if ((CallerServer_.connections() != 0 || arePeersReceiving(Now)) &&
+        Time < Config_.Mesh_->GracePeriod_ - EndMargin)
       return false;
     Timer_.expires_after(WriteTime);
     Timer_.async_wait([this](const boost::system::error_code &Failure) {
@@ -273,6 +288,8 @@
   TimePoint DrainStart_;
   bool Closed_ = false;  ///< callers can't connect any more
   bool Aborted_ = false; ///< requests that still ran were ended
+  std::size_t LeftForPeers_ = std::numeric_limits<std::size_t>::max(); ///< least bytes not received
+  TimePoint PeersReceivedAt_{};                                        ///< when it fell last
 };
 
 MeshNode::MeshNode(boost::asio::io_context &Io, Settings Config, HeaderNames Names,
--- a/src/node/peer_links.cpp
+++ b/src/node/peer_links.cpp
@@ -15,6 +15,7 @@
 #include "node/clock.h"
 #include "node/link_proof.h"
 #include "node/log.h"
+#include "node/socket_bytes.h"
 
 namespace bronzestand::node {
 namespace {
@@ -140,6 +141,16 @@
 
   bool isLinked(const HostId &Host) { return findOpenLink(Host) != nullptr; }
 
+  std::size_t unacknowledgedBytes() {
+    std::size_t Sum = queuedBytes();
+    for (auto &[Id, Item] : Links_)
+      withConnection(Item, [&](auto &Connection) {
+        const int Descriptor = Connection.get_raw_socket().native_handle();
+        Sum += Item.Open_ ? node::unacknowledgedBytes(Descriptor).value_or(0) : 0;
+      });
+    return Sum;
+  }
+
   void tick(TimePoint Now) {
     std::vector<std::pair<LinkId, const char *>> Closing;
     for (auto &[Id, Item] : Links_) {
@@ -213,6 +224,30 @@
     });
   }
 
+  /// Calls a function with the connection of a link, unless it has ended.
+  template <typename Function> void withConnection(const Link &Item, Function Action) {
+    websocketpp::lib::error_code Failure;
+    if (Item.Outgoing_) {
+      if (const auto Connection = Client_.get_con_from_hdl(Item.Handle_, Failure))
+        Action(*Connection);
+    } else if (const auto Connection = Server_.get_con_from_hdl(Item.Handle_, Failure)) {
+      Action(*Connection);
+    }
+  }
+
+  std::size_t queuedBytesOf(const Link &Item) {
+    std::size_t Bytes = 0;
+    withConnection(Item, [&](auto &Connection) { Bytes = Connection.get_buffered_amount(); });
+    return Bytes;
+  }
+
+  std::size_t queuedBytes() {
+    std::size_t Sum = 0;
+    for (const auto &[Id, Item] : Links_)
+      Sum += queuedBytesOf(Item);
+    return Sum;
+  }
+
   Link &addLink(const ConnectionHandle &Handle, bool Outgoing, const HostId &Target) {
     Link &Item = Links_[++LastLink_];
     Item.Id_ = LastLink_;
@@ -413,18 +448,13 @@
     if (Found == Links_.end())
       return;
     Log_->debug("closing link to {}: {}", Found->second.Peer_.Host_.str(), Reason);
-    const ConnectionHandle Handle = Found->second.Handle_;
-    const bool Outgoing = Found->second.Outgoing_;
+    const Link Closed = Found->second;
     removeLink(Id);
     // Closes the socket without a WebSocket close handshake, which a silent peer would not answer.
-    boost::system::error_code Ignored;
-    websocketpp::lib::error_code Failure;
-    if (Outgoing) {
-      if (const auto Connection = Client_.get_con_from_hdl(Handle, Failure))
-        Connection->get_raw_socket().close(Ignored);
-    } else if (const auto Connection = Server_.get_con_from_hdl(Handle, Failure)) {
-      Connection->get_raw_socket().close(Ignored);
-    }
+    withConnection(Closed, [](auto &Connection) {
+      boost::system::error_code Ignored;
+      Connection.get_raw_socket().close(Ignored);
+    });
   }
 
   void removeLink(LinkId Id) {
@@ -521,6 +551,7 @@
 void PeerLinks::connect(const Endpoint &Address) { Impl_->connect(Address); }
 void PeerLinks::open(const HostId &Host) { Impl_->open(Host); }
 bool PeerLinks::isLinked(const HostId &Host) const { return Impl_->isLinked(Host); }
+std::size_t PeerLinks::unacknowledgedBytes() const { return Impl_->unacknowledgedBytes(); }
 absl::Status PeerLinks::start() { return Impl_->start(); }
 void PeerLinks::stop() { Impl_->stop(); }
 void PeerLinks::tick(TimePoint Now) { Impl_->tick(Now); }
--- a/src/node/peer_links.h
+++ b/src/node/peer_links.h
@@ -81,6 +81,9 @@
   /// is open, and also if the attempt to open it fails.
   void open(const HostId &Host);
   bool isLinked(const HostId &Host) const;
+  /// Returns the bytes of all messages that were written to open links and that the other nodes
+  /// have not acknowledged.
+  std::size_t unacknowledgedBytes() const;
 
   std::string_view name() const override { return "peer_links"; }
   absl::Status start() override;
--- a/tests/unit/mesh_silence_test.cpp
+++ b/tests/unit/mesh_silence_test.cpp
@@ -63,3 +63,34 @@
     CHECK(runsOf("/once/" + std::to_string(Number)) == 1);
   }
 }
+
+// Guards against answers to another node that the end of the process cuts, because that node has
+// not received them yet.
+TEST_CASE_METHOD(MeshSilenceFixture, "mesh_silence_of_caller_of_stopping_host_loses_no_answer") {
+  constexpr std::size_t Requests = 5;
+  constexpr std::size_t AnswerBytes = 3'900'000; // more than the sockets of a link hold together
+  for (std::size_t Index = 1; Index < ServerCount; ++Index) {
+    Backends_[Index]->RestartAfter_ = 60s;
+    Backends_[Index]->crash();
+  }
+  Backends_[0]->Body_ = std::string(AnswerBytes, 'x');
+  Backends_[0]->ServeTime_ = 500ms;
+  std::vector<ReplyPtr> Replies;
+  for (std::size_t Number = 0; Number < Requests; ++Number)
+    Replies.push_back(sendTo(Silent, "/once/" + std::to_string(Number), "b", 8s));
+  REQUIRE(runUntil([&] {
+    std::size_t Running = 0;
+    for (std::size_t Number = 0; Number < Requests; ++Number)
+      Running += Backends_[0]->runsOf("/once/" + std::to_string(Number));
+    return Running == Requests;
+  }));
+  pause();
+  Nodes_[0]->shutdown(); // it has nothing left to run after 2.3 s
+  wait(2900ms);
+  resume();
+  for (const ReplyPtr &Reply : Replies) {
+    CHECK(runUntil([&] { return Reply->Ended_; }, 5s));
+    CHECK(Reply->status() == 200);
+    CHECK(Reply->Response_.Body_.size() == AnswerBytes);
+  }
+}
