Count the idle time of a connection from the end of its answer

What callers saw: a caller that reads its answer slowly found the connection closed, although it sent its next request well within the idle limit of the operator.

Change: while bytes of the last answer are not acknowledged, the idle limit moves on.

Test: server_close_idle_time_begins_when_answer_is_received (1.6 s of reading, 0.5 s of pause, limit 1 s); without the change the second request has no answer.

--- a/src/node/http_session.cpp
+++ b/src/node/http_session.cpp
@@ -128,8 +128,9 @@
   bool Watching_ = false;  ///< waits for input or the end of the connection, without reading
   bool Receiving_ = false; ///< a request has arrived in part
   bool Writing_ = false;
-  bool NoMore_ = false; ///< no further request is read
-  bool Ending_ = false; ///< sends nothing more, and waits for the caller to receive the answers
+  bool NoMore_ = false;     ///< no further request is read
+  bool Ending_ = false;     ///< sends nothing more, and waits for the caller to receive the answers
+  bool Delivering_ = false; ///< the caller may not have received the last answer yet
   Clock::time_point WrittenAt_{};  ///< end of the last write
   std::size_t Unacknowledged_ = 0; ///< least number of bytes seen while ending
   Clock::time_point EndLimit_{};   ///< when the wait for the caller ends
@@ -203,9 +204,16 @@
 }
 
 void Session::checkTimeouts(Clock::time_point Now) {
-  if (Ending_)
+  if (Ending_) {
     checkDelivery(Now);
-  else if (Now >= ReadLimit_ || Now >= WriteLimit_)
+    return;
+  }
+  // The idle time begins when the caller has received its answer.
+  if (Delivering_ && isIdle()) {
+    Delivering_ = unacknowledgedBytes(Socket_.native_handle()).value_or(0) != 0;
+    ReadLimit_ = Now + State_->Limits_.IdleTimeout_;
+  }
+  if (Now >= ReadLimit_ || Now >= WriteLimit_)
     close();
 }
 
@@ -371,6 +379,7 @@
   Writing_ = false;
   WriteLimit_ = Clock::time_point::max();
   WrittenAt_ = Clock::now();
+  Delivering_ = true;
   if (Closed_)
     return;
   if (Failure) {
--- a/tests/unit/http_server_close_test.cpp
+++ b/tests/unit/http_server_close_test.cpp
@@ -117,3 +117,21 @@
   withServer([](HttpServer &Server) { Server.drain(); });
   CHECK(connections() == 0);
 }
+
+// Guards against an idle time that begins while the caller still reads the answer.
+TEST_CASE_METHOD(CloseFixture, "server_close_idle_time_begins_when_answer_is_received") {
+  HttpServerLimits Limits;
+  Limits.IdleTimeout_ = 1s;
+  withServer([&](HttpServer &Server) { Server.setLimits(Limits); });
+  SlowCaller Caller(Address_);
+  Caller.get("/short"); // the limits hold from the next request on
+  Caller.get("/large");
+  std::string Input(LargeBytes / 16, ' ');
+  for (int Part = 0; Part < 16; ++Part) {
+    boost::asio::read(Caller.Socket_, boost::asio::buffer(Input));
+    std::this_thread::sleep_for(100ms);
+  }
+  std::this_thread::sleep_for(500ms);
+  Caller.get("/next", "Connection: close\r\n");
+  CHECK(has(Caller.readAll(), "GET /next"));
+}
