Answer earlier requests of a connection whose next one arrives too slowly

What callers saw: a caller that sends a request behind others and then stalls in it got no answer to the earlier ones, although they had been passed on and were running.

Change: the time-out ends the reading only. The connection closes after the last answer.

Test: server_close_slow_request_leaves_earlier_answer; without the change the running request is cancelled and the connection ends after 1 s.

--- a/src/node/http_session.cpp
+++ b/src/node/http_session.cpp
@@ -95,6 +95,7 @@
   bool hasInput();
   Slot *find(std::uint64_t Number);
   Slot &addSlot(bool KeepAlive);
+  void endReading();
   void readRequest();
   void readHeader();
   void onHeader(const error_code &Failure);
@@ -213,8 +214,18 @@
     Delivering_ = unacknowledgedBytes(Socket_.native_handle()).value_or(0) != 0;
     ReadLimit_ = Now + State_->Limits_.IdleTimeout_;
   }
-  if (Now >= ReadLimit_ || Now >= WriteLimit_)
+  if (Now >= WriteLimit_)
     close();
+  else if (Now >= ReadLimit_)
+    endReading();
+}
+
+// The answers to earlier requests are still written.
+void Session::endReading() {
+  NoMore_ = true;
+  ReadLimit_ = Clock::time_point::max();
+  if (Slots_.empty() && !Writing_)
+    closeAfterDelivery();
 }
 
 void Session::readRequest() {
@@ -269,12 +280,14 @@
   ReadLimit_ = Clock::time_point::max();
   if (Closed_ || Ending_)
     return;
-  if (!Failure)
-    handle();
-  else if (isParseError(Failure))
+  if (Failure && !isParseError(Failure))
+    onCallerGone();
+  else if (NoMore_)
+    return; // the request took too long
+  else if (Failure)
     refuse(refusalOf(Failure));
   else
-    onCallerGone();
+    handle();
 }
 
 void Session::onCallerGone() {
--- a/tests/unit/http_server_close_test.cpp
+++ b/tests/unit/http_server_close_test.cpp
@@ -135,3 +135,17 @@
   Caller.get("/next", "Connection: close\r\n");
   CHECK(has(Caller.readAll(), "GET /next"));
 }
+
+// Guards against answers to earlier requests that are lost because a later one arrives too slowly.
+TEST_CASE_METHOD(CloseFixture, "server_close_slow_request_leaves_earlier_answer") {
+  SlowCaller Caller(Address_);
+  Caller.get("/slow");
+  Caller.send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nabc");
+  std::this_thread::sleep_for(2s); // the read timeout of the server is 1 s
+  CHECK(Cancelled_ == 0);
+  boost::asio::post(Io_, [this] {
+    if (Held_)
+      Held_->respond({200, {}, "slow"});
+  });
+  CHECK(has(Caller.readAll(), "slow"));
+}
