Keep the calls of each run of a node apart

Cause: the ids of calls begin at the wall clock. RemoteCalls kept one history for each host and assumed that ids rise across its restarts, so ids of the later run counted as dropped or refused.

Change: the history is kept for each run, which the handshake of the link names. Runs that another one replaced are forgotten after 60 s, so that a late message of theirs still meets what was decided.

--- a/src/node/remote_calls.cpp
+++ b/src/node/remote_calls.cpp
@@ -18,6 +18,8 @@
 /// Ids per node; beyond them ids are refused as a range.
 constexpr std::size_t MaxRefusedIds = 1024;
 constexpr std::size_t MaxCallers = 4096;
+/// Messages of a run that has ended may arrive until its links are closed.
+constexpr Duration ReplacedRetention = std::chrono::seconds(60);
 
 std::size_t memoryOf(const Answer &Result) {
   std::size_t Bytes = Result.Body_.size();
@@ -42,8 +44,8 @@
   return absl::OkStatus();
 }
 
-RemoteCalls::Caller &RemoteCalls::callerOf(const HostId &Host) {
-  const auto Found = Callers_.find(Host);
+RemoteCalls::Caller &RemoteCalls::callerOf(const CallerRun &Run) {
+  const auto Found = Callers_.find(Run);
   if (Found != Callers_.end())
     return Found->second;
   if (Callers_.size() >= MaxCallers) {
@@ -54,15 +56,30 @@
       CallerDropped_ = true;
     }
   }
-  Caller &Added = Callers_[Host];
+  replaceOtherRuns(Run);
+  Caller &Added = Callers_[Run];
   Added.HistoryComplete_ = !CallerDropped_;
   return Added;
 }
 
-std::optional<Answer> RemoteCalls::findAnswer(const HostId &Host, CallId Id) {
-  if (const auto Kept = Answers_.find({Host, Id}); Kept != Answers_.end())
+void RemoteCalls::replaceOtherRuns(const CallerRun &Run) {
+  const TimePoint Now = now();
+  for (auto Item = Callers_.lower_bound({Run.first, 0});
+       Item != Callers_.end() && Item->first.first == Run.first;) {
+    Caller &Other = Item->second;
+    if (!Other.ReplacedAt_)
+      Other.ReplacedAt_ = Now;
+    if (Other.Running_.empty() && Now - *Other.ReplacedAt_ > ReplacedRetention)
+      Item = Callers_.erase(Item);
+    else
+      ++Item;
+  }
+}
+
+std::optional<Answer> RemoteCalls::findAnswer(const CallerRun &Run, CallId Id) {
+  if (const auto Kept = Answers_.find({Run, Id}); Kept != Answers_.end())
     return Kept->second;
-  const Caller &Sender = callerOf(Host);
+  const Caller &Sender = callerOf(Run);
   if (Sender.Refused_.count(Id) != 0)
     return Answer::refused(Id, Refusal::NoBackendServer);
   if (Id <= Sender.DroppedUpTo_)
@@ -73,23 +90,23 @@
 }
 
 void RemoteCalls::onCall(const Peer &From, Call Request) {
-  const HostId Host = From.Host_;
+  const CallerRun Run(From.Host_, From.Incarnation_);
   const CallId Id = Request.Id_;
-  if (callerOf(Host).Running_.count(Id) != 0)
+  if (callerOf(Run).Running_.count(Id) != 0)
     return; // duplicate message; the first one will be answered
-  if (const auto Known = findAnswer(Host, Id)) {
-    Links_.send(Host, MessageKind::Answer, *Known);
+  if (const auto Known = findAnswer(Run, Id)) {
+    Links_.send(From.Host_, MessageKind::Answer, *Known);
     return;
   }
-  callerOf(Host).Running_.insert(Id);
-  Runner_.submitCall(Host, std::move(Request),
-                     [this, Host](const Answer &Result) { onFinished(Host, Result); });
+  callerOf(Run).Running_.insert(Id);
+  Runner_.submitCall(From.Host_, std::move(Request),
+                     [this, Run](const Answer &Result) { onFinished(Run, Result); });
 }
 
-void RemoteCalls::onFinished(const HostId &Host, const Answer &Result) {
-  callerOf(Host).Running_.erase(Result.Id_);
-  Finished Entry{{Host, Result.Id_}, now(), memoryOf(Result)};
-  Links_.send(Host, MessageKind::Answer, Result);
+void RemoteCalls::onFinished(const CallerRun &Run, const Answer &Result) {
+  callerOf(Run).Running_.erase(Result.Id_);
+  Finished Entry{{Run, Result.Id_}, now(), memoryOf(Result)};
+  Links_.send(Run.first, MessageKind::Answer, Result);
   if (Entry.Bytes_ > MaxKeptBytes / 4) {
     Answers_[Entry.Key_] = Answer::refused(Result.Id_, Refusal::OutcomeUnknown);
     Entry.Bytes_ = 0;
@@ -104,8 +121,8 @@
 
 void RemoteCalls::dropOldestAnswer() {
   const Finished &Oldest = Finished_.front();
-  Caller &Sender = callerOf(Oldest.Key_.first);
-  Sender.DroppedUpTo_ = std::max(Sender.DroppedUpTo_, Oldest.Key_.second);
+  if (const auto Sender = Callers_.find(Oldest.Key_.first); Sender != Callers_.end())
+    Sender->second.DroppedUpTo_ = std::max(Sender->second.DroppedUpTo_, Oldest.Key_.second);
   Bytes_ -= Oldest.Bytes_;
   Answers_.erase(Oldest.Key_);
   Finished_.pop_front();
@@ -123,14 +140,15 @@
   const auto Id = Body.at(0).get<CallId>();
   const auto QueriedIncarnation = Body.at(1).get<Incarnation>();
   ++Queries_;
-  Caller &Sender = callerOf(From.Host_);
+  const CallerRun Run(From.Host_, From.Incarnation_);
+  Caller &Sender = callerOf(Run);
   if (QueriedIncarnation != OwnIncarnation_) {
     Links_.send(From.Host_, MessageKind::Answer, Answer::refused(Id, Refusal::ConnectionLost));
     return;
   }
   if (Sender.Running_.count(Id) != 0)
     return; // the answer is sent when the call ends
-  if (const auto Known = findAnswer(From.Host_, Id)) {
+  if (const auto Known = findAnswer(Run, Id)) {
     ++ResentAnswers_;
     Links_.send(From.Host_, MessageKind::Answer, *Known);
     return;
@@ -145,10 +163,11 @@
 }
 
 void RemoteCalls::onCancel(const Peer &From, CallId Id) {
-  Caller &Sender = callerOf(From.Host_);
+  const CallerRun Run(From.Host_, From.Incarnation_);
+  Caller &Sender = callerOf(Run);
   if (Sender.Running_.count(Id) != 0)
     Runner_.cancel(From.Host_, Id);
-  else if (!findAnswer(From.Host_, Id))
+  else if (!findAnswer(Run, Id))
     refusePermanently(Sender, Id); // the cancellation arrived before the call
 }
 
@@ -160,7 +179,7 @@
 json RemoteCalls::dump() const {
   std::size_t Running = 0;
   std::size_t Refused = 0;
-  for (const auto &[Host, Item] : Callers_) {
+  for (const auto &[Run, Item] : Callers_) {
     Running += Item.Running_.size();
     Refused += Item.Refused_.size();
   }
--- a/src/node/remote_calls.h
+++ b/src/node/remote_calls.h
@@ -3,8 +3,8 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
-#include <unordered_map>
 #include <utility>
 
 #include "node/call_runner.h"
@@ -27,14 +27,18 @@
   nlohmann::json dump() const override;
 
 private:
-  using CallKey = std::pair<HostId, CallId>;
-  /// Calls from one node. Its call ids increase, also across its restarts.
+  /// A run of the process of a node. The ids of its calls increase; those of a later run may be
+  /// lower, because they begin at the wall clock.
+  using CallerRun = std::pair<HostId, Incarnation>;
+  using CallKey = std::pair<CallerRun, CallId>;
+  /// Calls from one run of a node.
   struct Caller {
     std::set<CallId> Running_;
     std::set<CallId> Refused_;
     CallId RefusedUpTo_ = 0;      ///< unknown ids up to this one are refused
     CallId DroppedUpTo_ = 0;      ///< the answers of ids up to this one may have been dropped
-    bool HistoryComplete_ = true; ///< no earlier entry for this node was dropped
+    bool HistoryComplete_ = true; ///< no earlier entry for this run was dropped
+    std::optional<TimePoint> ReplacedAt_; ///< when another run of the node was first heard of
   };
   struct Finished {
     CallKey Key_;
@@ -45,17 +49,20 @@
   void onCall(const Peer &From, Call Request);
   void onQuery(const Peer &From, const nlohmann::json &Body);
   void onCancel(const Peer &From, CallId Id);
-  void onFinished(const HostId &Host, const Answer &Result);
-  Caller &callerOf(const HostId &Host);
+  void onFinished(const CallerRun &Run, const Answer &Result);
+  Caller &callerOf(const CallerRun &Run);
+  /// Notes that a run has replaced the earlier ones of its node, and forgets those that were
+  /// replaced long ago.
+  void replaceOtherRuns(const CallerRun &Run);
   /// Returns the answer to a call that is not running; nothing if the call never arrived.
-  std::optional<Answer> findAnswer(const HostId &Host, CallId Id);
+  std::optional<Answer> findAnswer(const CallerRun &Run, CallId Id);
   void refusePermanently(Caller &Sender, CallId Id);
   void dropOldestAnswer();
 
   CallRunner &Runner_;
   PeerLinks &Links_;
   Incarnation OwnIncarnation_;
-  std::unordered_map<HostId, Caller> Callers_;
+  std::map<CallerRun, Caller> Callers_;
   std::map<CallKey, Answer> Answers_;
   std::deque<Finished> Finished_; ///< oldest first
   std::size_t Bytes_ = 0;
