--- a/src/node/http_session.cpp
+++ b/src/node/http_session.cpp
@@ -506,7 +506,7 @@
 
 HttpSessionPtr makeHttpSession(tcp::socket Socket, std::shared_ptr<HttpServerState> State) {
   HttpServerState &Shared = *State;
-  const HttpSessionPtr Item(new Session(std::move(Socket), std::move(State)));
+  HttpSessionPtr Item(new Session(std::move(Socket), std::move(State)));
   Shared.Sessions_.push_back(*Item);
   return Item;
 }
--- a/src/node/peer_links.cpp
+++ b/src/node/peer_links.cpp
@@ -147,11 +147,12 @@
 
   std::size_t unacknowledgedBytes() {
     std::size_t Sum = queuedBytes();
-    for (auto &[Id, Item] : Links_)
-      withConnection(Item, [&](auto &Connection) {
-        const int Descriptor = Connection.get_raw_socket().native_handle();
-        Sum += Item.Open_ ? node::unacknowledgedBytes(Descriptor).value_or(0) : 0;
-      });
+    for (const auto &Entry : Links_)
+      if (Entry.second.Open_)
+        withConnection(Entry.second, [&Sum](auto &Connection) {
+          const int Descriptor = Connection.get_raw_socket().native_handle();
+          Sum += node::unacknowledgedBytes(Descriptor).value_or(0);
+        });
     return Sum;
   }
 
