Pass the memory of the process on the command line

The deploy file filled memory_mb into the template of the settings.

By hand: 160 is taken, 5 and x end with the usage code 2.

--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -1,3 +1,4 @@
+#include <charconv>
 #include <csignal>
 #include <functional>
 #include <iostream>
@@ -10,6 +11,7 @@
 #include <docopt/docopt.h>
 
 #include "mesh/mesh_node.h"
+#include "node/memory_limits.h"
 #include "node/node.h"
 #include "store_watch.h"
 #include "wire_names.h"
@@ -19,13 +21,14 @@
 constexpr const char *Usage = R"(bronzestandd: the node that runs beside one backend server.
 
 Usage:
-  bronzestandd --settings FILE [--check]
+  bronzestandd --settings FILE [--memory-mb SIZE] [--check]
   bronzestandd --help
 
 Options:
-  --settings FILE  YAML settings of this node.
-  --check          Check the settings, print all errors and exit.
-  --help           Show this text.
+  --settings FILE   YAML settings of this node.
+  --memory-mb SIZE  Memory that the process may use, in MiB, instead of that of the settings.
+  --check           Check the settings, print all errors and exit.
+  --help            Show this text.
 
 Signals: SIGTERM and SIGINT shut down gracefully; a second one ends at once. SIGHUP checks the
 settings again; they take effect at the next start.
@@ -55,6 +58,22 @@
             Loaded.Errors_.empty() ? "it takes effect at the next start" : "it has errors");
 }
 
+/// Sets the memory from the command line, if it is given there.
+/// \return false if it is no number, or out of range.
+bool applyMemory(const docopt::value &Size, bronzestand::node::Settings &Config) {
+  using namespace bronzestand::node;
+  if (!Size)
+    return true;
+  const std::string Text = Size.asString();
+  std::size_t Value = 0;
+  const auto Parsed = std::from_chars(Text.data(), Text.data() + Text.size(), Value);
+  if (Parsed.ec != std::errc() || Parsed.ptr != Text.data() + Text.size() || Value < MinMemoryMb ||
+      Value > MaxMemoryMb)
+    return false;
+  Config.MemoryBytes_ = Value * BytesPerMb;
+  return true;
+}
+
 template <typename Daemon>
 int serve(boost::asio::io_context &Io, Daemon &Running, const std::string &File) {
   boost::asio::signal_set Signals(Io, SIGTERM, SIGINT, SIGHUP);
@@ -115,11 +134,16 @@
     return UsageInvalid;
   }
   const std::string File = Arguments["--settings"].asString();
-  const auto Loaded = bronzestand::node::loadSettings(File);
+  auto Loaded = bronzestand::node::loadSettings(File);
   for (const auto &Error : Loaded.Errors_)
     std::cerr << bronzestand::describe(Error) << "\n";
   if (!Loaded.Errors_.empty())
     return SettingsInvalid;
+  if (!applyMemory(Arguments["--memory-mb"], Loaded.Settings_)) {
+    std::cerr << "bronzestandd: --memory-mb must be a whole number of "
+              << bronzestand::node::MinMemoryMb << " to " << bronzestand::node::MaxMemoryMb << "\n";
+    return UsageInvalid;
+  }
   if (Arguments["--check"].asBool()) {
     std::cout << "settings are valid\n";
     return Stopped;
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/ip/address.hpp>
 
 #include "engine/yaml_reader.h"
+#include "node/memory_limits.h"
 
 namespace bronzestand::node {
 namespace {
@@ -158,8 +159,8 @@
   Out.DrainLimit_ =
       std::chrono::milliseconds(Reader.integer("drain_limit_ms", 0, 3'600'000, false, 30'000));
   Out.MemoryBytes_ =
-      static_cast<std::size_t>(Reader.integer("memory_mb", 64, 1'048'576, false, 256)) * 1024 *
-      1024;
+      BytesPerMb * static_cast<std::size_t>(Reader.integer("memory_mb", MinMemoryMb, MaxMemoryMb,
+                                                           false, DefaultMemoryMb));
   Out.Log_ = readLog(Reader.map("log", false));
   Out.Claims_ = readClaims(Reader.map("claims", false));
   Out.Disabled_ = readDisabled(Reader);
