--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -64,7 +64,7 @@
   using namespace bronzestand::node;
   if (!Size)
     return true;
-  const std::string Text = Size.asString();
+  const std::string &Text = Size.asString();
   std::size_t Value = 0;
   const auto Parsed = std::from_chars(Text.data(), Text.data() + Text.size(), Value);
   if (Parsed.ec != std::errc() || Parsed.ptr != Text.data() + Text.size() || Value < MinMemoryMb ||
