End a stopping node half a second before its grace period does

A node that waits for slow readers decided at 5.65 to 5.75 s of 6, and stopped 0.15 s later; on a core of 0.4 that is too late. Now it decides at 5.5 to 5.6 s.

--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -34,7 +34,7 @@
 /// A stopping node waits no longer for peers that receive nothing for this time.
 constexpr Duration PeerWait = std::chrono::seconds(1);
 /// Callers that read slowly get their answers until this long before the end of the grace period.
-constexpr Duration EndMargin = std::chrono::milliseconds(350);
+constexpr Duration EndMargin = std::chrono::milliseconds(500);
 /// Pipelined requests of one connection that run at the same time.
 constexpr std::size_t Pipelined = 16;
 /// Descriptors bound the connections of callers; a node has some 4,000.
