--- a/tests/unit/mesh_silence_test.cpp
+++ b/tests/unit/mesh_silence_test.cpp
@@ -32,6 +32,24 @@
 
   void pause() { OtherLoops_.clear(); }
   void resume() { OtherLoops_ = {Loop_.get()}; }
+
+  /// Size of a large answer; five are more than the sockets of a link hold.
+  static constexpr std::size_t AnswerBytes = 3'900'000;
+
+  /// Sends requests to the node at the position Silent. Their answers are large and are sent by the
+  /// node at the position 0 half a second later, because all other servers are down.
+  std::vector<ReplyPtr> requestLargeAnswers(std::size_t Requests) {
+    for (std::size_t Index = 1; Index < ServerCount; ++Index) {
+      Backends_[Index]->RestartAfter_ = 60s;
+      Backends_[Index]->crash();
+    }
+    Backends_[0]->Body_ = std::string(AnswerBytes, 'x');
+    Backends_[0]->ServeTime_ = 500ms;
+    std::vector<ReplyPtr> Replies;
+    for (std::size_t Number = 0; Number < Requests; ++Number)
+      Replies.push_back(sendTo(Silent, "/once/" + std::to_string(Number), "b", 8s));
+    return Replies;
+  }
 };
 
 } // namespace
@@ -68,16 +86,7 @@
 // not received them yet.
 TEST_CASE_METHOD(MeshSilenceFixture, "mesh_silence_of_caller_of_stopping_host_loses_no_answer") {
   constexpr std::size_t Requests = 5;
-  constexpr std::size_t AnswerBytes = 3'900'000; // more than the sockets of a link hold together
-  for (std::size_t Index = 1; Index < ServerCount; ++Index) {
-    Backends_[Index]->RestartAfter_ = 60s;
-    Backends_[Index]->crash();
-  }
-  Backends_[0]->Body_ = std::string(AnswerBytes, 'x');
-  Backends_[0]->ServeTime_ = 500ms;
-  std::vector<ReplyPtr> Replies;
-  for (std::size_t Number = 0; Number < Requests; ++Number)
-    Replies.push_back(sendTo(Silent, "/once/" + std::to_string(Number), "b", 8s));
+  const std::vector<ReplyPtr> Replies = requestLargeAnswers(Requests);
   REQUIRE(runUntil([&] {
     std::size_t Running = 0;
     for (std::size_t Number = 0; Number < Requests; ++Number)
@@ -98,17 +107,8 @@
 // Guards against memory that grows with the answers to a node that does not receive them.
 TEST_CASE_METHOD(MeshSilenceFixture, "mesh_silence_of_caller_leaves_queued_answers_bounded") {
   constexpr std::size_t Requests = 16;
-  constexpr std::size_t AnswerBytes = 3'900'000;
   constexpr std::size_t MaxQueuedBytes = 32UL * 1024 * 1024;
-  for (std::size_t Index = 1; Index < ServerCount; ++Index) {
-    Backends_[Index]->RestartAfter_ = 60s;
-    Backends_[Index]->crash();
-  }
-  Backends_[0]->Body_ = std::string(AnswerBytes, 'x');
-  Backends_[0]->ServeTime_ = 500ms;
-  std::vector<ReplyPtr> Replies;
-  for (std::size_t Number = 0; Number < Requests; ++Number)
-    Replies.push_back(sendTo(Silent, "/once/" + std::to_string(Number), "b", 8s));
+  const std::vector<ReplyPtr> Replies = requestLargeAnswers(Requests);
   wait(400ms);
   pause();
   wait(1500ms);
