--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -336,7 +336,7 @@
     SendOptions Options;
     Options.EchoHeader_ = "Request-Id";
     Options.EndsByClose_ = true;
-    const auto End = std::make_shared<Result>();
+    auto End = std::make_shared<Result>();
     Bounded_.send(
         std::move(Request), Limit,
         [End](HttpResult Outcome, const HttpResponse &Response) {
