--- a/src/node/peer_links.cpp
+++ b/src/node/peer_links.cpp
@@ -3,33 +3,36 @@
 #include <algorithm>
 #include <array>
 #include <deque>
-#include <map>
 #include <unordered_map>
 
-#include <boost/asio/ip/tcp.hpp>
-#include <websocketpp/client.hpp>
-#include <websocketpp/config/asio_no_tls.hpp>
-#include <websocketpp/config/asio_no_tls_client.hpp>
-#include <websocketpp/server.hpp>
+#include <boost/asio/post.hpp>
 
+#include "bronzestand/error.h"
 #include "node/clock.h"
-#include "node/link_proof.h"
+#include "node/link_counters.h"
+#include "node/link_handshake.h"
+#include "node/link_limits.h"
+#include "node/link_sockets.h"
+#include "node/link_table.h"
 #include "node/log.h"
-#include "node/socket_bytes.h"
 
 namespace bronzestand::node {
 namespace {
 
 using nlohmann::json;
-using WsServer = websocketpp::server<websocketpp::config::asio>;
-using WsClient = websocketpp::client<websocketpp::config::asio_client>;
-using ConnectionHandle = websocketpp::connection_hdl;
 
-constexpr std::size_t MaxFrameBytes = 8ULL * 1024 * 1024;
 /// Part of the memory of the process for messages that wait to be written; beyond it the link with
 /// the longest queue is closed. Checked after frames of LargeFrameBytes and at each tick.
 constexpr std::size_t QueueMemoryDivisor = 8;
 constexpr std::size_t LargeFrameBytes = 64ULL * 1024;
+/// Part of the memory of the process for frames that arrive; beyond it the link that holds the most
+/// is closed. At least one frame of the largest size always has room.
+constexpr std::size_t ArrivingMemoryDivisor = 8;
+/// Accepted connections that have not proved to be of a node may have this part of the links.
+constexpr std::size_t UnprovedDivisor = 4;
+/// A link makes way for a new one only after it has carried nothing for this time, so that links in
+/// use do not displace each other.
+constexpr Duration MinUnused = std::chrono::seconds(2);
 /// Maximum number of messages per host queued until a link opens. Further messages are dropped,
 /// like messages lost by the network.
 constexpr std::size_t MaxWaiting = 256;
@@ -40,32 +43,21 @@
 /// within this margin before the limit counts as idle, not as failed.
 constexpr Duration IdleMargin = std::chrono::seconds(2);
 
+/// Bytes of the bodies in a message. They make the size of a large one.
+std::size_t bodyBytes(const json &Message) {
+  std::size_t Sum = 0;
+  if (Message.is_structured())
+    for (const json &Item : Message)
+      Sum += Item.is_binary() ? Item.get_binary().size() : 0;
+  return Sum;
+}
+
 struct WaitingMessage {
   MessageKind Kind_;
   json Body_;
   PeerLinks::SentCallback OnSent_;
   PeerLinks::WantedCheck Wanted_;
-};
-
-struct Link {
-  LinkId Id_ = 0;
-  ConnectionHandle Handle_;
-  bool Outgoing_ = false;
-  bool Open_ = false;     ///< the handshake is complete
-  bool Replaces_ = false; ///< opened to replace silent links to the same host
-  bool Broken_ = false;   ///< closed because it was silent
-  Peer Peer_;
-  std::string Address_; ///< address that an outgoing link was opened to
-  HostId Target_;       ///< host that an outgoing link was opened for; empty if not known
-  std::string OwnNonce_;
-  std::string PeerNonce_;
-  TimePoint Created_;
-  TimePoint LastUsed_; ///< last message other than a heartbeat
-};
-
-struct KindCounter {
-  std::uint64_t Messages_ = 0;
-  std::uint64_t Bytes_ = 0;
+  Sending Order_;
 };
 
 } // namespace
@@ -73,30 +65,39 @@
 class PeerLinks::Impl : public std::enable_shared_from_this<Impl> {
 public:
   Impl(boost::asio::io_context &Io, const Settings &Config, Incarnation Run)
-      : Io_(Io), Config_(Config), Run_(Run), Log_(makeLogger("peer_links")) {
-    prepare(Server_);
-    prepare(Client_);
-    Server_.set_reuse_addr(true);
-  }
+      : Handshake_(Config, Run), Io_(Io), Config_(Config), Run_(Run),
+        Log_(makeLogger("peer_links")),
+        Arriving_(std::make_shared<ArrivingFrames>(
+            std::max(Config.MemoryBytes_ / ArrivingMemoryDivisor, LinkSockets::MaxFrameBytes))),
+        Sockets_(Io, Arriving_), MaxLinks_(maxLinksOf(descriptorLimit())) {}
 
   absl::Status start() {
-    bindHandlers(Server_, false);
-    bindHandlers(Client_, true);
-    websocketpp::lib::error_code Failure;
-    const boost::asio::ip::tcp::endpoint Address(
-        boost::asio::ip::make_address(Config_.PeerListen_.Address_), Config_.PeerListen_.Port_);
-    Server_.listen(Address, Failure);
-    if (!Failure)
-      Server_.start_accept(Failure);
-    if (Failure)
-      return makeError({ErrorCode::ListenFailed, Config_.PeerListen_.str(), "", Failure.message()});
-    return absl::OkStatus();
+    const auto Self = weak_from_this();
+    Sockets_.bind({[Self](const ConnectionHandle &Handle) {
+                     if (const auto Alive = Self.lock())
+                       Alive->onAccepted(Handle);
+                   },
+                   [Self](const ConnectionHandle &Handle, bool Outgoing) {
+                     if (const auto Alive = Self.lock())
+                       Alive->onOpen(Handle, Outgoing);
+                   },
+                   [Self](const ConnectionHandle &Handle, bool Unneeded) {
+                     if (const auto Alive = Self.lock())
+                       Alive->onClosed(Handle, Unneeded);
+                   },
+                   [Self](const ConnectionHandle &Handle, const std::string &Frame) {
+                     if (const auto Alive = Self.lock())
+                       Alive->onFrame(Handle, Frame);
+                   }});
+    Arriving_->onExceeded([Self] {
+      if (const auto Alive = Self.lock())
+        Alive->limitArrivingLater();
+    });
+    return Sockets_.listen(Config_.PeerListen_);
   }
 
   void stop() {
-    websocketpp::lib::error_code Ignored;
-    if (Server_.is_listening())
-      Server_.stop_listening(Ignored);
+    Sockets_.stopListening();
     std::vector<LinkId> Ids;
     for (const auto &[Id, Item] : Links_)
       Ids.push_back(Id);
@@ -104,12 +105,18 @@
       closeLink(Id, "node is stopping");
   }
 
-  void send(const HostId &To, MessageKind Kind, json Body, SentCallback OnSent,
-            WantedCheck Wanted) {
-    if (Link *Open = findOpenLink(To)) {
+  void send(const HostId &To, MessageKind Kind, json Body, SentCallback OnSent, WantedCheck Wanted,
+            Sending Order) {
+    // The peer would close the link, and the copies of the frame take several times its size.
+    if (Kind == MessageKind::Call && bodyBytes(Body) > LinkSockets::MaxFrameBytes) {
+      if (OnSent)
+        OnSent(0);
+      return;
+    }
+    if (Link *Open = Links_.findOpen(To)) {
       if (Kind != MessageKind::Heartbeat)
         Open->LastUsed_ = now();
-      if (write(*Open, Kind, Body)) {
+      if (write(*Open, Kind, Body, Order)) {
         if (OnSent)
           OnSent(Open->Id_);
         return;
@@ -121,7 +128,7 @@
         OnSent(0);
       return;
     }
-    Waiting.push_back({Kind, std::move(Body), std::move(OnSent), std::move(Wanted)});
+    Waiting.push_back({Kind, std::move(Body), std::move(OnSent), std::move(Wanted), Order});
     if (Waiting.size() == 1 && !ensureOpening(To))
       dropWaiting(To);
   }
@@ -143,16 +150,20 @@
         Item.Replaces_ = true;
   }
 
-  bool isLinked(const HostId &Host) { return findOpenLink(Host) != nullptr; }
+  bool isLinked(const HostId &Host) { return Links_.findOpen(Host) != nullptr; }
 
   std::size_t unacknowledgedBytes() {
     std::size_t Sum = queuedBytes();
     for (const auto &Entry : Links_)
       if (Entry.second.Open_)
-        withConnection(Entry.second, [&Sum](auto &Connection) {
-          const int Descriptor = Connection.get_raw_socket().native_handle();
-          Sum += node::unacknowledgedBytes(Descriptor).value_or(0);
-        });
+        Sum += Sockets_.unacknowledgedBytes(Entry.second);
+    return Sum;
+  }
+
+  std::size_t queuedBytes() {
+    std::size_t Sum = 0;
+    for (const auto &[Id, Item] : Links_)
+      Sum += Sockets_.queuedBytes(Item);
     return Sum;
   }
 
@@ -169,116 +180,122 @@
     for (const auto &[Id, Reason] : Closing)
       closeLink(Id, Reason);
     limitQueues();
+    limitArriving();
   }
 
   json dump() {
     json Result{{"incarnation", Run_},
                 {"epoch", Epoch_},
                 {"queued_bytes", queuedBytes()},
+                {"arriving_bytes", Arriving_->bytes()},
+                {"max_arriving_bytes", Arriving_->maxBytes()},
+                {"max_links", MaxLinks_},
+                {"unproved_connections", Unproved_.size()},
+                {"closed_largest", ClosedLargest_},
+                {"closed_unused", ClosedUnused_},
+                {"closed_unproved", ClosedUnproved_},
+                {"refused_links", RefusedLinks_},
+                {"protocol_errors", ProtocolErrors_},
                 {"links", json::array()}};
     for (const auto &[Id, Item] : Links_)
       Result["links"].push_back(
-          {{"id", Id}, {"host", Item.Peer_.Host_.str()}, {"open", Item.Open_}});
-    for (std::size_t Index = 0; Index < MessageKindCount; ++Index) {
-      const auto Name = std::string(messageKindName(static_cast<MessageKind>(Index)));
-      Result["sent"][Name] = {{"messages", Sent_[Index].Messages_}, {"bytes", Sent_[Index].Bytes_}};
-      Result["received"][Name] = {{"messages", Received_[Index].Messages_},
-                                  {"bytes", Received_[Index].Bytes_}};
-    }
+          {{"id", Id},
+           {"host", Item.Peer_.Host_.str()},
+           {"open", Item.Open_},
+           {"short_frames", Item.Short_},
+           {"texts", (Item.Encoder_ ? Item.Encoder_->table().size() : 0) +
+                         (Item.Decoder_ ? Item.Decoder_->table().size() : 0)}});
+    Counters_.dump(Result);
     return Result;
   }
 
   std::array<MessageHandler, MessageKindCount> Handlers_;
   Resolver Resolver_;
   SentCounter SentCounter_;
+  LinkCounters Counters_;
+  LinkHandshake Handshake_;
+  RepeatingHeaders Repeating_;
   std::vector<LinkDownCallback> LinkDown_;
   std::vector<LinkUpCallback> LinkUp_;
   HeardCallback Heard_;
   std::vector<HostDownCallback> HostDown_;
   std::uint64_t Epoch_ = 0;
-  bool Leaving_ = false;
 
 private:
-  template <typename Endpoint> void prepare(Endpoint &Side) {
-    Side.clear_access_channels(websocketpp::log::alevel::all);
-    Side.clear_error_channels(websocketpp::log::elevel::all);
-    Side.init_asio(&Io_);
-    Side.set_max_message_size(MaxFrameBytes);
-    Side.set_open_handshake_timeout(2000);
-    Side.set_close_handshake_timeout(500);
+  void limitQueues() {
+    while (queuedBytes() > Config_.MemoryBytes_ / QueueMemoryDivisor) {
+      const auto Longest =
+          std::max_element(Links_.begin(), Links_.end(), [this](const auto &A, const auto &B) {
+            return Sockets_.queuedBytes(A.second) < Sockets_.queuedBytes(B.second);
+          });
+      Log_->warn("closing link to {}: {} bytes are queued", Longest->second.Peer_.Host_.str(),
+                 Sockets_.queuedBytes(Longest->second));
+      closeLink(Longest->first, "queue is too long");
+    }
   }
 
-  template <typename Endpoint> void bindHandlers(Endpoint &Side, bool Outgoing) {
-    const auto Self = weak_from_this();
-    Side.set_open_handler([Self, Outgoing](const ConnectionHandle &Handle) {
-      if (const auto Alive = Self.lock())
-        Alive->onOpen(Handle, Outgoing);
-    });
-    const auto OnClosed = [Self](const ConnectionHandle &Handle) {
-      if (const auto Alive = Self.lock())
-        Alive->onClosed(Handle);
-    };
-    Side.set_close_handler(OnClosed);
-    Side.set_fail_handler(OnClosed);
-    Side.set_message_handler([Self](const ConnectionHandle &Handle, const auto &Message) {
-      if (const auto Alive = Self.lock())
-        Alive->onFrame(Handle, Message->get_payload());
-    });
-    Side.set_tcp_post_init_handler([&Side](const ConnectionHandle &Handle) {
-      websocketpp::lib::error_code Failure;
-      const auto Connection = Side.get_con_from_hdl(Handle, Failure);
-      boost::system::error_code Ignored;
-      if (Connection)
-        Connection->get_raw_socket().set_option(boost::asio::ip::tcp::no_delay(true), Ignored);
+  /// After the current handler, which may read the frame of the link that must be closed.
+  void limitArrivingLater() {
+    if (std::exchange(LimitPosted_, true))
+      return;
+    boost::asio::post(Io_, [Self = weak_from_this()] {
+      const auto Alive = Self.lock();
+      if (!Alive)
+        return;
+      Alive->LimitPosted_ = false;
+      Alive->limitArriving();
     });
   }
 
-  /// Calls a function with the connection of a link, unless it has ended.
-  template <typename Function> void withConnection(const Link &Item, Function Action) {
-    websocketpp::lib::error_code Failure;
-    if (Item.Outgoing_) {
-      if (const auto Connection = Client_.get_con_from_hdl(Item.Handle_, Failure))
-        Action(*Connection);
-    } else if (const auto Connection = Server_.get_con_from_hdl(Item.Handle_, Failure)) {
-      Action(*Connection);
+  void limitArriving() {
+    if (!Arriving_->isExceeded())
+      return;
+    const auto Largest =
+        std::max_element(Links_.begin(), Links_.end(), [this](const auto &A, const auto &B) {
+          return Sockets_.arrivingBytes(A.second) < Sockets_.arrivingBytes(B.second);
+        });
+    if (Largest == Links_.end())
+      return;
+    Log_->warn("closing link to {}: frames of {} bytes arrive on all links",
+               Largest->second.Peer_.Host_.str(), Arriving_->bytes());
+    ++ClosedLargest_;
+    closeLink(Largest->first, "its frame is the largest");
+  }
+
+  /// Makes way for a new link. \return false if all links are in use.
+  bool makeWay() {
+    if (Links_.size() + Unproved_.size() < MaxLinks_)
+      return true;
+    const Link *Found = Links_.leastUsed();
+    if (Found == nullptr || now() - Found->LastUsed_ < MinUnused) {
+      ++RefusedLinks_;
+      Log_->warn("refusing a link: all {} are in use", MaxLinks_);
+      return false;
     }
+    ++ClosedUnused_;
+    const Link Unused = *Found;
+    removeLink(Unused.Id_, true);
+    Sockets_.release(Unused);
+    return true;
   }
 
-  std::size_t queuedBytesOf(const Link &Item) {
-    std::size_t Bytes = 0;
-    withConnection(Item, [&](auto &Connection) { Bytes = Connection.get_buffered_amount(); });
-    return Bytes;
-  }
-
-  std::size_t queuedBytes() {
-    std::size_t Sum = 0;
-    for (const auto &[Id, Item] : Links_)
-      Sum += queuedBytesOf(Item);
-    return Sum;
-  }
-
-  void limitQueues() {
-    while (queuedBytes() > Config_.MemoryBytes_ / QueueMemoryDivisor) {
-      const auto Longest =
-          std::max_element(Links_.begin(), Links_.end(), [this](const auto &A, const auto &B) {
-            return queuedBytesOf(A.second) < queuedBytesOf(B.second);
-          });
-      Log_->warn("closing link to {}: {} bytes are queued", Longest->second.Peer_.Host_.str(),
-                 queuedBytesOf(Longest->second));
-      closeLink(Longest->first, "queue is too long");
+  void onAccepted(const ConnectionHandle &Handle) {
+    if (Unproved_.size() >= std::max<std::size_t>(MaxLinks_ / UnprovedDivisor, 1)) {
+      ++ClosedUnproved_;
+      closeAccepted(Unproved_.takeFirst());
     }
+    if (makeWay())
+      Unproved_.add(Handle);
+    else
+      Sockets_.closeAccepted(Handle);
   }
 
-  Link &addLink(const ConnectionHandle &Handle, bool Outgoing, const HostId &Target) {
-    Link &Item = Links_[++LastLink_];
-    Item.Id_ = LastLink_;
-    Item.Handle_ = Handle;
-    Item.Outgoing_ = Outgoing;
-    Item.Target_ = Target;
-    Item.OwnNonce_ = makeNonce();
-    Item.Created_ = Item.LastUsed_ = now();
-    LinkByHandle_[Handle] = Item.Id_;
-    return Item;
+  /// Closes an accepted connection whose other end has not proved that it is a node.
+  void closeAccepted(const ConnectionHandle &Handle) {
+    if (const Link *Item = Links_.findByHandle(Handle))
+      closeLink(Item->Id_, "too many connections without proof");
+    else
+      Sockets_.closeAccepted(Handle);
   }
 
   bool ensureOpening(const HostId &To) {
@@ -290,116 +307,97 @@
   }
 
   bool openAddress(const Endpoint &Address, const HostId &Target) {
-    websocketpp::lib::error_code Failure;
-    const auto Connection = Client_.get_connection("ws://" + Address.str() + "/", Failure);
-    if (Failure)
+    if (!makeWay())
       return false;
-    // Identifies the opening host in packet captures and proxies; not used for authentication.
-    Connection->append_header("Bronzestand-Host", Config_.Host_.str());
-    addLink(Connection->get_handle(), true, Target).Address_ = Address.str();
-    Client_.connect(Connection);
-    return true;
-  }
-
-  Link *findOpenLink(const HostId &Host) {
-    const auto Found = LinkByHost_.find(Host.str());
-    if (Found == LinkByHost_.end())
-      return nullptr;
-    const auto Item = Links_.find(Found->second);
-    return Item == Links_.end() ? nullptr : &Item->second;
-  }
-
-  Link *findByHandle(const ConnectionHandle &Handle) {
-    const auto Found = LinkByHandle_.find(Handle);
-    if (Found == LinkByHandle_.end())
-      return nullptr;
-    return &Links_.at(Found->second);
+    return Sockets_.connect(Address, Config_.Host_, [&](const ConnectionHandle &Handle) {
+      Links_.add(Handle, true, Target).Address_ = Address.str();
+    });
   }
 
   void onOpen(const ConnectionHandle &Handle, bool Outgoing) {
     if (Outgoing)
       return; // the accepting side sends its challenge first
-    Link &Item = addLink(Handle, false, HostId());
-    write(Item, MessageKind::Challenge, {{"nonce", Item.OwnNonce_}});
+    Link &Item = Links_.add(Handle, false, HostId());
+    write(Item, MessageKind::Challenge, LinkHandshake::challenge(Item));
   }
 
-  void onClosed(const ConnectionHandle &Handle) {
-    if (const Link *Item = findByHandle(Handle))
-      removeLink(Item->Id_);
+  void onClosed(const ConnectionHandle &Handle, bool Unneeded) {
+    Unproved_.remove(Handle);
+    if (const Link *Item = Links_.findByHandle(Handle))
+      removeLink(Item->Id_, Unneeded);
   }
 
   void onFrame(const ConnectionHandle &Handle, const std::string &Frame) {
-    Link *Item = findByHandle(Handle);
+    Link *Item = Links_.findByHandle(Handle);
     if (Item == nullptr)
       return;
-    const auto Message = decode(Frame);
-    if (!Message) {
-      closeLink(Item->Id_, "malformed frame");
+    const auto Received = decodeFrame(*Item, Frame);
+    if (!Received)
       return;
-    }
-    auto &Counter = Received_[static_cast<std::size_t>(Message->Kind_)];
-    ++Counter.Messages_;
-    Counter.Bytes_ += Frame.size();
+    const Envelope &Message = Received->Message_;
+    Counters_.count(*Item, LinkBytes::Direction::Received, Message.Kind_, Received->Repeated_,
+                    Frame.size());
     try {
       if (Item->Open_)
-        deliver(*Item, *Message);
+        deliver(*Item, Message);
       else
-        handshake(*Item, *Message);
+        handshake(*Item, Message);
     } catch (const json::exception &Failure) {
-      Log_->warn("malformed {} message from {}", messageKindName(Message->Kind_),
+      Log_->warn("malformed {} message from {}", messageKindName(Message.Kind_),
                  Item->Peer_.Host_.str());
     }
   }
 
-  /// Text covered by the MAC of one side: both nonces, its host, incarnation and role. The role
-  /// prevents reflection of a MAC to the side that computed it.
-  std::string proofText(const Link &Item, const HostId &Host, Incarnation Run, bool Opener) const {
-    const std::string &First = Item.Outgoing_ ? Item.OwnNonce_ : Item.PeerNonce_;
-    const std::string &Second = Item.Outgoing_ ? Item.PeerNonce_ : Item.OwnNonce_;
-    return First + Second + Host.str() + "/" + std::to_string(Run) + (Opener ? "/open" : "/accept");
+  /// Decodes a frame, or closes its link.
+  std::optional<DecodedFrame> decodeFrame(Link &Item, const std::string &Frame) {
+    if (!FrameDecoder::isShort(Frame)) {
+      if (auto Message = decode(Frame))
+        return DecodedFrame{*std::move(Message)};
+      closeLink(Item.Id_, "malformed frame");
+      return std::nullopt;
+    }
+    if (!Item.Short_ || !Item.Open_) {
+      endByError(Item, "short_frame_not_agreed");
+      return std::nullopt;
+    }
+    if (!Item.Decoder_)
+      Item.Decoder_ = std::make_shared<FrameDecoder>();
+    auto Result = Item.Decoder_->decode(Frame);
+    if (auto *Received = std::get_if<DecodedFrame>(&Result))
+      return std::move(*Received);
+    endByError(Item, frameErrorName(std::get<FrameError>(Result)));
+    return std::nullopt;
+  }
+
+  /// Closes a link whose peer violates the protocol. Calls are queried as after any loss.
+  void endByError(const Link &Item, std::string_view Reason) {
+    ++ProtocolErrors_;
+    Log_->warn("closing link: {}", describe({ErrorCode::ProtocolViolation, Item.Peer_.Host_.str(),
+                                             "frame", std::string(Reason)}));
+    closeLink(Item.Id_, "protocol violation");
   }
 
   void handshake(Link &Item, const Envelope &Message) {
-    const auto OwnMac = [&] {
-      return makeMac(Config_.PeerSecret_, proofText(Item, Config_.Host_, Run_, Item.Outgoing_));
-    };
-    const auto PeerMacValid = [&] {
-      const std::string Expected =
-          makeMac(Config_.PeerSecret_,
-                  proofText(Item, Message.Sender_, Message.Incarnation_, !Item.Outgoing_));
-      return equalMacs(Expected, Message.Body_.at("mac").get<std::string>());
-    };
-    if (Item.Outgoing_ && Message.Kind_ == MessageKind::Challenge) {
-      Item.PeerNonce_ = Message.Body_.at("nonce").get<std::string>();
-      write(Item, MessageKind::Proof,
-            {{"nonce", Item.OwnNonce_}, {"mac", OwnMac()}, {"leaving", Leaving_}});
-      return;
-    }
-    if (!Item.Outgoing_ && Message.Kind_ == MessageKind::Proof) {
-      Item.PeerNonce_ = Message.Body_.at("nonce").get<std::string>();
-      if (PeerMacValid()) {
-        write(Item, MessageKind::Accepted, {{"mac", OwnMac()}, {"leaving", Leaving_}});
-        completeHandshake(Item, Message);
-        return;
-      }
-    }
-    if (Item.Outgoing_ && Message.Kind_ == MessageKind::Accepted && PeerMacValid() &&
-        (Item.Target_.empty() || Item.Target_ == Message.Sender_)) {
+    const LinkHandshake::Step Next = Handshake_.next(Item, Message);
+    if (Next.Reply_)
+      write(Item, Next.Reply_->first, Next.Reply_->second);
+    if (Next.Outcome_ == LinkHandshake::Outcome::Complete) {
       completeHandshake(Item, Message);
-      return;
+    } else if (Next.Outcome_ == LinkHandshake::Outcome::Failed) {
+      Log_->warn("handshake with {} failed", Message.Sender_.str());
+      closeLink(Item.Id_, "handshake failed");
     }
-    Log_->warn("handshake with {} failed", Message.Sender_.str());
-    closeLink(Item.Id_, "handshake failed");
   }
 
   void completeHandshake(Link &Item, const Envelope &Message) {
-    Item.Open_ = true;
-    Item.Peer_ = {Message.Sender_, Message.Incarnation_, Message.Epoch_, Item.Id_,
-                  Message.Body_.at("leaving").get<bool>()};
+    Handshake_.complete(Item, Message);
+    Unproved_.remove(Item.Handle_);
+    Sockets_.admitLargeFrames(Item);
+    Counters_.handshakeEnded(Item);
     const HostId Host = Message.Sender_;
     if (Item.Replaces_)
       closeOthers(Host, Item.Id_);
-    LinkByHost_[Host.str()] = Item.Id_;
+    Links_.select(Item);
     const Peer Other = Item.Peer_;
     flushWaiting(Host);
     for (const LinkUpCallback &Callback : LinkUp_)
@@ -421,18 +419,20 @@
       Handler(From, Message.Body_);
   }
 
-  bool write(Link &Item, MessageKind Kind, const json &Body) {
-    const std::string Frame = encode({Kind, Epoch_, Body, Config_.Host_, Run_});
-    websocketpp::lib::error_code Failure;
-    if (Item.Outgoing_)
-      Client_.send(Item.Handle_, Frame, websocketpp::frame::opcode::binary, Failure);
-    else
-      Server_.send(Item.Handle_, Frame, websocketpp::frame::opcode::binary, Failure);
-    if (Failure)
+  bool write(Link &Item, MessageKind Kind, const json &Body, Sending Order = Sending::First) {
+    // Short frames refer to each other, so they are encoded in the order in which they are sent.
+    std::string Frame;
+    const bool Short = encodeShort(Item, Kind, Body, Order, Frame);
+    if (!Short)
+      Frame = encode({Kind, Epoch_, Body, Config_.Host_, Run_});
+    const bool Written = Sockets_.send(Item, Frame);
+    if (Short && !Written)
+      Item.Encoder_->rollback();
+    else if (Short)
+      Item.Encoder_->commit();
+    if (!Written)
       return false;
-    auto &Counter = Sent_[static_cast<std::size_t>(Kind)];
-    ++Counter.Messages_;
-    Counter.Bytes_ += Frame.size();
+    Counters_.count(Item, LinkBytes::Direction::Sent, Kind, Order == Sending::Repeat, Frame.size());
     if (SentCounter_ && Item.Open_)
       SentCounter_(Item.Peer_.Host_, Kind, Frame.size());
     if (Frame.size() >= LargeFrameBytes)
@@ -443,6 +443,19 @@
     return true;
   }
 
+  /// \return whether the message has a short form on this link.
+  bool encodeShort(Link &Item, MessageKind Kind, const json &Body, Sending Order,
+                   std::string &Frame) {
+    if (!Item.Open_ || !Item.Short_ || !FrameEncoder::hasShortForm(Kind))
+      return false;
+    if (!Item.Encoder_)
+      Item.Encoder_ = std::make_shared<FrameEncoder>(Repeating_);
+    if (Item.Encoder_->encode(Kind, Order == Sending::Repeat, Epoch_, Body, Frame))
+      return true;
+    Item.Encoder_->rollback();
+    return false;
+  }
+
   void flushWaiting(const HostId &Host) {
     const auto Found = Waiting_.find(Host);
     if (Found == Waiting_.end())
@@ -452,7 +465,7 @@
     for (WaitingMessage &Message : Messages) {
       if (!Message.Wanted_ || Message.Wanted_())
         send(Host, Message.Kind_, std::move(Message.Body_), std::move(Message.OnSent_),
-             std::move(Message.Wanted_));
+             std::move(Message.Wanted_), Message.Order_);
       else if (Message.OnSent_)
         Message.OnSent_(0);
     }
@@ -470,42 +483,37 @@
   }
 
   void closeLink(LinkId Id, const char *Reason) {
-    const auto Found = Links_.find(Id);
-    if (Found == Links_.end())
+    const Link *Found = Links_.find(Id);
+    if (Found == nullptr)
       return;
-    Log_->debug("closing link to {}: {}", Found->second.Peer_.Host_.str(), Reason);
-    const Link Closed = Found->second;
+    Log_->debug("closing link to {}: {}", Found->Peer_.Host_.str(), Reason);
+    const Link Closed = *Found;
     removeLink(Id);
-    // Closes the socket without a WebSocket close handshake, which a silent peer would not answer.
-    withConnection(Closed, [](auto &Connection) {
-      boost::system::error_code Ignored;
-      Connection.get_raw_socket().close(Ignored);
-    });
+    Sockets_.close(Closed);
   }
 
-  void removeLink(LinkId Id) {
-    const auto Found = Links_.find(Id);
-    if (Found == Links_.end())
+  /// \param Unneeded one end had too many links, and this one was not used.
+  void removeLink(LinkId Id, bool Unneeded = false) {
+    std::optional<Link> Removed = Links_.take(Id);
+    if (!Removed)
       return;
-    const Link Item = std::move(Found->second);
-    Links_.erase(Found);
-    LinkByHandle_.erase(Item.Handle_);
-    const auto ByHost = LinkByHost_.find(Item.Peer_.Host_.str());
-    if (ByHost != LinkByHost_.end() && ByHost->second == Id)
-      selectOtherLink(Item.Peer_.Host_);
+    Link &Item = *Removed;
     if (!Item.Open_ && !Item.Target_.empty()) {
       dropWaiting(Item.Target_);
-      if (findOpenLink(Item.Target_) == nullptr)
+      if (Links_.findOpen(Item.Target_) == nullptr)
         notifyHostDown(Item.Target_, LinkEnd::Failed);
       else if (Item.Replaces_)
         closeOthers(Item.Target_, Id);
     }
-    if (!Item.Open_)
+    if (!Item.Open_) {
+      Counters_.handshakeEnded(Item);
       return;
+    }
     for (const LinkDownCallback &Callback : LinkDown_)
       Callback(Item.Peer_.Host_, Id);
-    const bool Idle = !Item.Broken_ && now() - Item.LastUsed_ > IdleLimit - IdleMargin;
-    if (findOpenLink(Item.Peer_.Host_) == nullptr)
+    const bool Idle =
+        Unneeded || (!Item.Broken_ && now() - Item.LastUsed_ > IdleLimit - IdleMargin);
+    if (Links_.findOpen(Item.Peer_.Host_) == nullptr)
       notifyHostDown(Item.Peer_.Host_, Idle ? LinkEnd::Idle : LinkEnd::Lost);
   }
 
@@ -527,26 +535,22 @@
       closeLink(Id, "replaced by a new link");
   }
 
-  void selectOtherLink(const HostId &Host) {
-    LinkByHost_.erase(Host.str());
-    for (const auto &[Id, Item] : Links_)
-      if (Item.Open_ && Item.Peer_.Host_ == Host)
-        LinkByHost_[Host.str()] = Id;
-  }
-
   boost::asio::io_context &Io_;
   const Settings &Config_;
   Incarnation Run_;
   Logger Log_;
-  WsServer Server_;
-  WsClient Client_;
-  LinkId LastLink_ = 0;
-  std::map<LinkId, Link> Links_;
-  std::map<ConnectionHandle, LinkId, std::owner_less<ConnectionHandle>> LinkByHandle_;
-  std::unordered_map<std::string, LinkId> LinkByHost_;
+  std::shared_ptr<ArrivingFrames> Arriving_;
+  bool LimitPosted_ = false;
+  LinkSockets Sockets_;
+  LinkTable Links_;
+  UnprovedConnections Unproved_;
+  std::size_t MaxLinks_;
+  std::uint64_t ClosedLargest_ = 0;  ///< links closed because of arriving frames
+  std::uint64_t ClosedUnused_ = 0;   ///< links closed for a new one
+  std::uint64_t ClosedUnproved_ = 0; ///< connections closed for a new one
+  std::uint64_t RefusedLinks_ = 0;
   std::unordered_map<HostId, std::deque<WaitingMessage>> Waiting_;
-  std::array<KindCounter, MessageKindCount> Sent_{};
-  std::array<KindCounter, MessageKindCount> Received_{};
+  std::uint64_t ProtocolErrors_ = 0;
 };
 
 PeerLinks::PeerLinks(boost::asio::io_context &Io, const Settings &Config, Incarnation Run)
@@ -557,6 +561,10 @@
   Impl_->Handlers_[static_cast<std::size_t>(Kind)] = std::move(Handler);
 }
 void PeerLinks::setSentCounter(SentCounter Count) { Impl_->SentCounter_ = std::move(Count); }
+void PeerLinks::setDistance(DistanceFinder Find) { Impl_->Counters_.setDistance(std::move(Find)); }
+const LinkBytes &PeerLinks::bytes() const { return Impl_->Counters_.bytes(); }
+void PeerLinks::disableShortFrames() { Impl_->Handshake_.disableShortFrames(); }
+void PeerLinks::addRepeatingHeader(std::string_view Name) { Impl_->Repeating_.add(Name); }
 void PeerLinks::setResolver(Resolver Find) { Impl_->Resolver_ = std::move(Find); }
 void PeerLinks::addLinkDown(LinkDownCallback Callback) {
   Impl_->LinkDown_.push_back(std::move(Callback));
@@ -569,15 +577,16 @@
   Impl_->HostDown_.push_back(std::move(Callback));
 }
 void PeerLinks::setEpoch(std::uint64_t Epoch) { Impl_->Epoch_ = Epoch; }
-void PeerLinks::setLeaving() { Impl_->Leaving_ = true; }
+void PeerLinks::setLeaving() { Impl_->Handshake_.setLeaving(); }
 void PeerLinks::send(const HostId &To, MessageKind Kind, json Body, SentCallback OnSent,
-                     WantedCheck Wanted) {
-  Impl_->send(To, Kind, std::move(Body), std::move(OnSent), std::move(Wanted));
+                     WantedCheck Wanted, Sending Order) {
+  Impl_->send(To, Kind, std::move(Body), std::move(OnSent), std::move(Wanted), Order);
 }
 void PeerLinks::connect(const Endpoint &Address) { Impl_->connect(Address); }
 void PeerLinks::open(const HostId &Host) { Impl_->open(Host); }
 bool PeerLinks::isLinked(const HostId &Host) const { return Impl_->isLinked(Host); }
 std::size_t PeerLinks::unacknowledgedBytes() const { return Impl_->unacknowledgedBytes(); }
+std::size_t PeerLinks::queuedBytes() const { return Impl_->queuedBytes(); }
 absl::Status PeerLinks::start() { return Impl_->start(); }
 void PeerLinks::stop() { Impl_->stop(); }
 void PeerLinks::tick(TimePoint Now) { Impl_->tick(Now); }
--- a/src/node/peer_links.h
+++ b/src/node/peer_links.h
@@ -8,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "node/envelope.h"
+#include "node/link_bytes.h"
 #include "node/part.h"
 #include "node/settings.h"
 
@@ -25,6 +26,9 @@
   bool Leaving_ = false; ///< announced in the handshake that it leaves the fleet
 };
 
+/// Whether a message is sent for the first time; only counted.
+enum class Sending { First, Repeat };
+
 /// Why the last link to a host ended.
 enum class LinkEnd {
   Idle,   ///< closed because it was idle
@@ -46,6 +50,8 @@
   using LinkDownCallback = std::function<void(const HostId &Host, LinkId Link)>;
   using LinkUpCallback = std::function<void(const Peer &Other)>;
   using HeardCallback = std::function<bool(const Peer &From)>;
+  /// Returns where a host is.
+  using DistanceFinder = std::function<LinkDistance(const HostId &Host)>;
   using HostDownCallback = std::function<void(const HostId &Host, LinkEnd Reason)>;
 
   PeerLinks(boost::asio::io_context &Io, const Settings &Config, Incarnation Run);
@@ -53,6 +59,11 @@
 
   void setHandler(MessageKind Kind, MessageHandler Handler);
   void setResolver(Resolver Find);
+  void setDistance(DistanceFinder Find);
+  /// Adds a header whose value repeats from call to call, so that short frames send it once.
+  void addRepeatingHeader(std::string_view Name);
+  /// Sends and accepts only the earlier form of frames on later links.
+  void disableShortFrames();
   void addLinkDown(LinkDownCallback Callback);
   void addLinkUp(LinkUpCallback Callback);
   /// Sets a callback that is called before each message is handled; the message is dropped if it
@@ -72,8 +83,9 @@
   /// Sends a message, and opens a link if there is none. Delivery is not guaranteed.
   /// \param OnSent reports whether the message was written.
   /// \param Wanted checked only if the message has to be queued.
+  /// \param Order whether a call is the first attempt of its request.
   void send(const HostId &To, MessageKind Kind, nlohmann::json Body, SentCallback OnSent = {},
-            WantedCheck Wanted = {});
+            WantedCheck Wanted = {}, Sending Order = Sending::First);
   /// Opens a link to an address whose host is not known yet, unless one was opened to this address.
   /// Used at start-up.
   void connect(const Endpoint &Address);
@@ -81,9 +93,13 @@
   /// is open, and also if the attempt to open it fails.
   void open(const HostId &Host);
   bool isLinked(const HostId &Host) const;
+  /// Returns the counters of all frames of this run of the process.
+  const LinkBytes &bytes() const;
   /// Returns the bytes of all messages that were written to open links and that the other nodes
   /// have not acknowledged.
   std::size_t unacknowledgedBytes() const;
+  /// Returns the bytes of all messages that wait to be written.
+  std::size_t queuedBytes() const;
 
   std::string_view name() const override { return "peer_links"; }
   absl::Status start() override;
--- a/src/node/routed_call.cpp
+++ b/src/node/routed_call.cpp
@@ -116,7 +116,8 @@
       [Self = Ptr(this), Try = Try_](LinkId Link) { Self->onSent(Try, Link); },
       [Self = Ptr(this), Try = Try_] {
         return !Self->Done_ && !Self->Cancelled_ && Try == Self->Try_;
-      });
+      },
+      Try_ > 1 ? Sending::Repeat : Sending::First);
 }
 
 void RoutedCall::onSent(std::uint32_t Try, LinkId Link) {
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -107,6 +107,12 @@
       static_cast<std::int64_t>(1000.0 * Reader.number("grace_seconds", 1.0, 3600.0, false, 6.0)));
   Mesh.ApplyTime_ =
       std::chrono::milliseconds(Reader.integer("apply_ms", 100, 3'600'000, false, 2000));
+  if (Reader.has("cold_over"))
+    Mesh.ColdOver_ =
+        Reader.number("cold_over", MeshSettings::MinColdOver, MeshSettings::MaxColdOver);
+  Mesh.ColdSlack_ = Reader.number("cold_slack", 0.0, MeshSettings::MaxColdSlack, false, 0.0);
+  Mesh.EvacuateTime_ = std::chrono::milliseconds(Reader.integer(
+      "evacuate_ms", MeshSettings::MinEvacuateMs, MeshSettings::MaxEvacuateMs, false, 5000));
   if (Reader.has("metrics_listen"))
     Mesh.MetricsListen_ = readEndpoint(Reader, "metrics_listen", Reader.text("metrics_listen"));
   Reader.finish();
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -42,12 +42,26 @@
 /// A fleet whose platform publishes the configuration and the backend servers in a metadata store
 /// that nodes can only read. The values come from the platform's own settings.
 struct MeshSettings {
+  // Ranges of the settings that the command line may replace.
+  static constexpr double MinColdOver = 1.0;
+  static constexpr double MaxColdOver = 1e3;
+  static constexpr double MaxColdSlack = 1e6;
+  static constexpr std::uint64_t MinEvacuateMs = 100;
+  static constexpr std::uint64_t MaxEvacuateMs = 3'600'000;
+
   Endpoint Store_;
   std::unordered_map<std::string, std::string> Regions_; ///< region of each data centre
   double RetryRatio_ = 0.1;      ///< retries per request that the fleet may send to a service
   double RetryAllowance_ = 10.0; ///< further retries of the whole fleet in a window
   Duration GracePeriod_ = std::chrono::seconds(6); ///< from SIGTERM to the end of the process
   Duration ApplyTime_ = std::chrono::seconds(2);   ///< in which a change must be in force
+  /// Bound of the requests that a cold server gets in a second: its rate times this factor, plus
+  /// ColdSlack_. Without a factor servers are never treated as cold.
+  std::optional<double> ColdOver_;
+  double ColdSlack_ = 0.0;
+  /// In which an evacuated data centre must get no more requests; the default applies if the
+  /// platform sets none.
+  Duration EvacuateTime_ = std::chrono::seconds(5);
   std::optional<Endpoint>
       MetricsListen_; ///< serves only the metrics, in addition to operator_listen
 };
--- a/tests/integration/process.cpp
+++ b/tests/integration/process.cpp
@@ -29,6 +29,8 @@
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     ::dup2(Log, STDOUT_FILENO);
     ::dup2(Log, STDERR_FILENO);
+    // Sockets that the process inherits would stay open after this program has closed them.
+    ::close_range(STDERR_FILENO + 1, ~0U, 0);
     std::vector<char *> Values{const_cast<char *>(Path.c_str())};
     for (const std::string &Argument : Arguments)
       Values.push_back(const_cast<char *>(Argument.c_str()));
--- a/tests/soak/daemons.cpp
+++ b/tests/soak/daemons.cpp
@@ -50,8 +50,10 @@
 
 } // namespace
 
-Daemons::Daemons(boost::asio::io_context &Io, std::size_t Nodes, std::string Directory)
-    : Lock_(Io), Block_(takeBlock(Lock_)), Directory_(std::move(Directory)) {
+Daemons::Daemons(boost::asio::io_context &Io, std::size_t Nodes, std::string Directory,
+                 std::string MoreSettings)
+    : Lock_(Io), Block_(takeBlock(Lock_)), Directory_(std::move(Directory)),
+      MoreSettings_(std::move(MoreSettings)) {
   if (Nodes > MaxNodes)
     throw std::runtime_error("too many nodes");
   Nodes_.resize(Nodes);
@@ -93,22 +95,27 @@
   constexpr std::array<const char *, 3> Names{"colombo", "negombo", "galle"};
   return Names[Node / 2 % Names.size()];
 }
+std::string Daemons::regionOf(std::size_t Node) {
+  return dataCentreOf(Node) == "galle" ? "southern" : "western";
+}
 std::string Daemons::serviceOf(std::size_t Node) {
   return Node % 2 == 0 ? "catalogue" : "bookings";
 }
 
 std::string Daemons::settings(std::size_t Node) const {
   const std::string DataCentre = dataCentreOf(Node);
-  return fmt::format(
-      "host_id: {}\ndata_centre: {}\nregion: {}\nservice: {}\ncaller_listen: {}\n"
-      "egress_listen: {}\npeer_listen: {}\noperator_listen: {}\nbackend_server: {}\n"
-      "mesh:\n  store: {}\n  regions: {{colombo: western, negombo: western, galle: southern}}\n"
-      "  retry_ratio: 0.2\n  retry_allowance: 50\n  grace_seconds: 6\n  metrics_listen: {}\n",
-      hostName(Node), DataCentre, DataCentre == "galle" ? "southern" : "western", serviceOf(Node),
-      callers(Node).str(), endpoint(Use::Node, Node, EgressPort).str(),
-      endpoint(Use::Node, Node, PeerPort).str(), operators(Node).str(),
-      endpoint(Use::ServerProxy, Node, ServerPort).str(),
-      endpoint(Use::StoreProxy, Node, StorePort).str(), metrics(Node).str());
+  return fmt::format("host_id: {}\ndata_centre: {}\nregion: {}\nservice: {}\ncaller_listen: {}\n"
+                     "egress_listen: {}\npeer_listen: {}\noperator_listen: {}\nbackend_server: {}\n"
+                     "mesh:\n  store: {}\n  regions: {{colombo: western, negombo: western, galle: "
+                     "southern}}\n"
+                     "  retry_ratio: 0.2\n  retry_allowance: 50\n  grace_seconds: 6\n  "
+                     "metrics_listen: {}\n",
+                     hostName(Node), DataCentre, regionOf(Node), serviceOf(Node),
+                     callers(Node).str(), endpoint(Use::Node, Node, EgressPort).str(),
+                     endpoint(Use::Node, Node, PeerPort).str(), operators(Node).str(),
+                     endpoint(Use::ServerProxy, Node, ServerPort).str(),
+                     endpoint(Use::StoreProxy, Node, StorePort).str(), metrics(Node).str()) +
+         MoreSettings_;
 }
 
 void Daemons::start(std::size_t Node) {
--- a/tests/soak/daemons.h
+++ b/tests/soak/daemons.h
@@ -17,7 +17,9 @@
 class Daemons {
 public:
   /// \param Directory for the settings of the nodes; must exist.
-  Daemons(boost::asio::io_context &Io, std::size_t Nodes, std::string Directory);
+  /// \param MoreSettings lines for the mesh section of the settings.
+  Daemons(boost::asio::io_context &Io, std::size_t Nodes, std::string Directory,
+          std::string MoreSettings);
 
   void start(std::size_t Node);
   /// Null before the first start.
@@ -44,6 +46,7 @@
   /// Address of a server as its entry in the store names it.
   std::string advertised(std::size_t Node) const;
   static std::string dataCentreOf(std::size_t Node);
+  static std::string regionOf(std::size_t Node);
   static std::string serviceOf(std::size_t Node);
 
   /// What all nodes have written, those that ended too.
@@ -60,6 +63,7 @@
   boost::asio::ip::tcp::acceptor Lock_; ///< keeps other runs from the addresses of this one
   unsigned Block_ = 0;                  ///< second byte of all addresses
   std::string Directory_;
+  std::string MoreSettings_;
   std::unique_ptr<test::Process> Proxy_;
   std::vector<std::unique_ptr<test::Process>> Nodes_;
   std::vector<std::unique_ptr<test::Process>> Ended_;
--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -5,6 +5,7 @@
 
 #include <fmt/format.h>
 
+#include "daemons.h"
 #include "node/clock.h"
 #include "wire_names.h"
 
@@ -13,7 +14,7 @@
 
 using node::findHeader;
 
-constexpr std::array<std::string_view, 15> PromiseNames{"runs_once",
+constexpr std::array<std::string_view, 18> PromiseNames{"runs_once",
                                                         "refused_not_run",
                                                         "answer_whole",
                                                         "request_unchanged",
@@ -27,7 +28,10 @@
                                                         "caller_gone",
                                                         "planned_cuts_nothing",
                                                         "ends_in_grace",
-                                                        "recovers"};
+                                                        "recovers",
+                                                        "cold_bounded",
+                                                        "regions_kept",
+                                                        "evacuated_spared"};
 
 /// Of the requests that reach their time-out, more than half may not be late, nor more than a
 /// quarter if so many are.
@@ -101,11 +105,43 @@
     return;
   }
   Record &Item = Found->second;
+  checkPlace(Item, Begun);
   if (!Begun.Rejected_)
     checkArrival(Item, Request, Begun);
   Item.Runs_.push_back(std::move(Begun));
 }
 
+void Ledger::evacuated(const std::string &DataCentre, bool Begins) {
+  if (Begins)
+    Evacuated_[DataCentre] = node::now();
+  else
+    Evacuated_.erase(DataCentre);
+}
+
+// A rejected request has reached its server too, unless another server was meant.
+void Ledger::checkPlace(const Record &Item, const Run &Begun) {
+  const Sent &Wanted = Item.Sent_;
+  const std::string Region = Daemons::regionOf(Begun.Node_);
+  if (!Wanted.Region_.empty() && Region != Wanted.Region_)
+    violated(Promise::RegionsKept, Wanted.Id_,
+             fmt::format("reached {} in {}, allowed in {}", Begun.Server_, Region, Wanted.Region_));
+  const auto Found = Evacuated_.find(Daemons::dataCentreOf(Begun.Node_));
+  if (Begun.Status_ == 421 || Found == Evacuated_.end())
+    return;
+  // A node that was stopped or cut off has its time from when it is in contact with the store
+  // again.
+  TimePoint Known = std::max(Found->second, StoreDisturbed_ + Bounds_.Contact_);
+  for (const std::size_t Node : {Wanted.Node_, Begun.Node_})
+    if (const auto End = Disturbed_.find(Node); End != Disturbed_.end())
+      Known = std::max(Known, End->second + Bounds_.Contact_);
+  if (Begun.At_ - Known > Bounds_.Evacuate_)
+    violated(
+        Promise::EvacuatedSpared, Wanted.Id_,
+        fmt::format("reached {} in {} {} ms after the key", Begun.Server_, Found->first,
+                    std::chrono::duration_cast<std::chrono::milliseconds>(Begun.At_ - Found->second)
+                        .count()));
+}
+
 void Ledger::checkArrival(const Record &Item, const node::HttpRequest &Request, const Run &Begun) {
   const Sent &Wanted = Item.Sent_;
   const auto Compare = [&](std::string_view What, const std::string &Got, const std::string &Want) {
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -31,6 +31,9 @@
   PlannedCutsNothing,
   EndsInGrace, ///< a node ends by itself within the grace period
   Recovers,
+  ColdBounded,     ///< a cold server gets no more requests in a second than its bound
+  RegionsKept,     ///< a request reaches servers of its allowed regions only
+  EvacuatedSpared, ///< an evacuated data centre gets no requests after its time
 };
 
 std::string_view promiseName(Promise Value);
@@ -41,9 +44,12 @@
   Duration ConfigApply_ = std::chrono::milliseconds(2000);
   Duration Rollback_ = std::chrono::milliseconds(250);
   Duration Drain_ = std::chrono::milliseconds(2000);
+  Duration Evacuate_ = std::chrono::milliseconds(2000);
   Duration Grace_ = std::chrono::seconds(6);
   Duration LossSlack_ = std::chrono::milliseconds(200);
   Duration Recovery_ = std::chrono::seconds(15);
+  double ColdOver_ = 1.5;
+  double ColdSlack_ = 4.0;
   double RetryRatio_ = 0.2;
   double RetrySlack_ = 50.0;
   Duration RetryWindow_ = std::chrono::seconds(10);
@@ -66,6 +72,7 @@
   Duration Timeout_{}; ///< of its route
   TimePoint At_;
   bool Probe_ = false; ///< may be refused by the configuration
+  std::string Region_; ///< the only allowed one; empty for any
 };
 
 /// One arrival at a server that the server began to work on.
@@ -115,6 +122,8 @@
   void cancelled(const std::string &Request);
   /// Call at the time-out of the route, and again half a second later.
   void timedOut(const std::string &Request, bool Late);
+  /// The servers of a data centre get no requests from now on, or may get them again.
+  void evacuated(const std::string &DataCentre, bool Begins);
   void leaving(const std::string &Server) { Leaving_[Server] = node::now(); }
   /// Checks an answer against the configuration in force. \param Wanted only status that shows it;
   /// 0 for any. \param Unexpected status that shows an older one; 0 for none.
@@ -144,6 +153,7 @@
   };
 
   void checkArrival(const Record &Item, const node::HttpRequest &Request, const Run &Begun);
+  void checkPlace(const Record &Item, const Run &Begun);
   void checkServed(const Record &Item, const node::HttpResponse &Response);
   void checkRefused(Record &Item);
   void checkRetries();
@@ -155,6 +165,7 @@
   std::map<std::size_t, TimePoint> Disturbed_;
   TimePoint StoreDisturbed_{};
   std::map<std::string, TimePoint> Leaving_;
+  std::map<std::string, TimePoint> Evacuated_; ///< data centres and the times of their keys
   std::vector<Violation> Violations_;
   bool PlannedOnly_ = false;
   std::size_t AfterCallerLeft_ = 0;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -19,7 +19,7 @@
     R"(soak: runs real nodes under random faults and checks the promises of the platform.
 
 Usage:
-  soak [--seed N] [--seeds COUNT] [--nodes N] [--seconds S]
+  soak [--seed N] [--seeds COUNT] [--nodes N] [--seconds S] [--placement]
   soak --list FILE
   soak --help
 
@@ -28,7 +28,9 @@
   --seeds COUNT  Number of seeds, one after the other [default: 1].
   --nodes N      Nodes of the fleet, at most 250 [default: 8].
   --seconds S    Time with faults of each run [default: 12].
-  --list FILE    Runs of a file: a line each of seed, nodes and seconds; # begins a comment.
+  --placement    With allowed regions, cold servers and evacuations.
+  --list FILE    Runs of a file: a line each of seed, nodes, seconds and perhaps "placement";
+                 # begins a comment.
   --help         Show this text.
 
 Exit codes: 0 all promises held, 1 some did not, 2 wrong usage, 3 a run could not be made. The logs
@@ -62,13 +64,19 @@
     std::string Text;
     for (const auto &[Name, Count] : Faults)
       Text += fmt::format(" {}:{}", Name, Count);
+    std::map<std::string_view, int> Broken;
+    for (const auto &Item : Violations)
+      ++Broken[promiseName(Item.Promise_)];
+    std::string ByPromise;
+    for (const auto &[Name, Count] : Broken)
+      ByPromise += fmt::format(" {}:{}", Name, Count);
     std::string Answers;
     for (const auto &[Status, Count] : Run.ledger().statuses())
       Answers += fmt::format(" {}:{}", Status, Count);
-    std::cout << fmt::format("seed {} nodes {} profile {} requests {} violations {} answers{} "
+    std::cout << fmt::format("seed {} nodes {} profile {} requests {} violations {}{} answers{} "
                              "faults{}{}\n",
                              Options.Seed_, Options.Nodes_, profileName(Run.plan().Profile_),
-                             Run.ledger().requests(), Violations.size(), Answers, Text,
+                             Run.ledger().requests(), Violations.size(), ByPromise, Answers, Text,
                              Kept ? "" : " logs " + keepLogs(Run, Options.Seed_));
     for (std::size_t Number = 0; Number < std::min(MaxPrinted, Violations.size()); ++Number) {
       const auto &Item = Violations[Number];
@@ -94,6 +102,8 @@
     if (!(Fields >> Options.Seed_ >> Options.Nodes_ >> Seconds))
       continue;
     Options.Length_ = std::chrono::seconds(Seconds);
+    std::string Word;
+    Options.Placement_ = Fields >> Word && Word == "placement";
     Result.push_back(Options);
   }
   return Result;
@@ -109,6 +119,7 @@
     Options.Seed_ = First + static_cast<std::uint64_t>(Number);
     Options.Nodes_ = static_cast<std::size_t>(Arguments["--nodes"].asLong());
     Options.Length_ = std::chrono::seconds(Arguments["--seconds"].asLong());
+    Options.Placement_ = Arguments["--placement"].asBool();
     Result.push_back(Options);
   }
   return Result;
--- a/tests/soak/plan.h
+++ b/tests/soak/plan.h
@@ -36,14 +36,16 @@
   ServerHold,   ///< connections to a server are silent
   ServerLeaves, ///< a server drains, and another one takes its address
   ConfigChange, ///< a route is added, another removed, a key replaced
+  Evacuate,     ///< a data centre is evacuated, and its servers are cold at the end
+  ColdReturn,   ///< all servers of a data centre end and come back together
 };
-constexpr std::size_t FaultKinds = 24;
+constexpr std::size_t FaultKinds = 26;
 
 std::string_view faultName(FaultKind Kind);
 
 /// Which kinds of faults a run has.
-enum class Profile { Mixed, Planned, Processes, Links, Store, Servers };
-constexpr std::size_t Profiles = 6;
+enum class Profile { Mixed, Planned, Processes, Links, Store, Servers, Placement };
+constexpr std::size_t Profiles = 7;
 
 std::string_view profileName(Profile Value);
 
@@ -61,7 +63,8 @@
 };
 
 /// Makes the plan of a seed; the same for the same arguments. Faults come in series and overlap.
-Plan makePlan(std::uint64_t Seed, std::size_t Nodes, Duration Length);
+/// \param Placement adds the faults of Profile::Placement to those of the seed's profile.
+Plan makePlan(std::uint64_t Seed, std::size_t Nodes, Duration Length, bool Placement);
 
 } // namespace bronzestand::soak
 
--- a/tests/soak/servers.h
+++ b/tests/soak/servers.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <random>
 #include <string>
+#include <vector>
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -16,6 +17,7 @@
 /// A stand-in of a backend server that tells the ledger what it runs.
 class Server {
 public:
+  static constexpr const char *HealthPath = "/health";
   /// Makes the call that a request needs, through the node of the server.
   using MakeCall = std::function<void(std::function<void(bool Served)> Done)>;
 
@@ -24,6 +26,14 @@
 
   /// Requests need a call of their own from now on.
   void setCall(MakeCall Call) { Call_ = std::move(Call); }
+  /// The server is cold for a time after each start, and crashes above a number of requests in a
+  /// second while it is.
+  void setCold(Duration Time, double Bound, std::function<void()> OnCrash);
+  void turnCold();
+  /// How much longer the server stays cold; zero if it is warm.
+  Duration coldFor() const;
+  /// Ends the server with all connections; start() begins it again.
+  void end();
   /// Another server takes the address.
   void replace();
   void setErrorShare(double Share) { ErrorShare_ = Share; }
@@ -35,8 +45,8 @@
   std::string entry(const std::string &State, const std::string &Address,
                     const std::string &DataCentre) const;
 
-  absl::Status start() { return Listener_.start(); }
-  void stop() { Listener_.stop(); }
+  absl::Status start();
+  void stop() { Listeners_.back()->stop(); }
   const std::string &id() const { return Id_; }
   const std::string &service() const { return Service_; }
 
@@ -45,6 +55,8 @@
   using WorkPtr = std::shared_ptr<Work>;
 
   void handle(node::HttpRequest Request, const node::HttpExchangePtr &Exchange);
+  /// Counts a request at a cold server. \return whether the server crashes by it.
+  bool crashes(const node::HttpRequest &Request);
   void startNext();
   void run(const WorkPtr &Item);
   void finish(const WorkPtr &Item, unsigned Status);
@@ -66,8 +78,16 @@
   std::size_t Running_ = 0;
   std::deque<WorkPtr> Queue_;
   std::uint64_t Signatures_ = 0;
+  Duration ColdTime_{};    ///< after each start; zero if the server is never cold
+  double ColdBound_ = 0.0; ///< most requests in a second while cold
+  TimePoint ColdUntil_{};
+  std::deque<TimePoint> ColdArrivals_; ///< of the last second, since the server is cold
+  std::function<void()> OnCrash_;
+  std::vector<node::HttpExchangePtr> Crashing_; ///< unanswered until the crash
+  unsigned Life_ = 0;                           ///< number of the start
   std::mt19937_64 Random_;
-  node::HttpServer Listener_;
+  node::Endpoint Listen_;
+  std::vector<std::unique_ptr<node::HttpServer>> Listeners_; ///< one for each start
 };
 
 } // namespace bronzestand::soak
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -1,6 +1,8 @@
 // The faults of a soak run: what each kind does to nodes, links, store and servers.
 #include <csignal>
 
+#include <stdexcept>
+
 #include <fmt/format.h>
 
 #include "soak_run.h"
@@ -55,6 +57,14 @@
   case FaultKind::ConfigChange:
     changeConfig();
     return;
+  case FaultKind::Evacuate:
+    evacuate(Daemons::dataCentreOf(Item.Target_), Item.For_);
+    return;
+  case FaultKind::ColdReturn:
+    for (std::size_t Number = 0; Number < Nodes_.size(); ++Number)
+      if (Daemons::dataCentreOf(Number) == Daemons::dataCentreOf(Item.Target_))
+        endServer(Number, Item.For_);
+    return;
   default:
     injectStore(Item);
     return;
@@ -273,6 +283,43 @@
   }
 }
 
+void SoakRun::endServer(std::size_t Number, Duration For) {
+  if (Nodes_[Number].ServerDown_)
+    return;
+  Nodes_[Number].ServerDown_ = true;
+  Book_.disturb(Number, node::now() + For);
+  Servers_[Number]->end();
+  after(For, [this, Number] {
+    Node &Item = Nodes_[Number];
+    Server &Target = *Servers_[Number];
+    Item.ServerDown_ = false;
+    Store_.remove("servers/" + Target.id());
+    Target.replace();
+    if (!Target.start().ok())
+      throw std::runtime_error("a server can't listen again");
+    if (Item.Gone_)
+      return;
+    if (Item.Leaves_)
+      Book_.leaving(Target.id());
+    list(Number, Item.Leaves_ ? "draining" : "ready");
+  });
+}
+
+void SoakRun::evacuate(const std::string &DataCentre, Duration For) {
+  if (!Evacuated_.insert(DataCentre).second)
+    return;
+  Store_.put("op/evacuate/" + DataCentre, "");
+  Book_.evacuated(DataCentre, true);
+  after(For, [this, DataCentre] {
+    Evacuated_.erase(DataCentre);
+    Store_.remove("op/evacuate/" + DataCentre);
+    Book_.evacuated(DataCentre, false);
+    for (std::size_t Number = 0; Number < Nodes_.size(); ++Number)
+      if (Daemons::dataCentreOf(Number) == DataCentre)
+        Servers_[Number]->turnCold();
+  });
+}
+
 // The server drains and goes on for a while; later another one has its address.
 void SoakRun::leave(std::size_t Number, Duration For) {
   Node &Item = Nodes_[Number];
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -41,6 +41,21 @@
 constexpr const char *LimitedTeam = "walk-ins";
 constexpr const char *RotatingTeam = "builders";
 
+/// Parts of the traffic of runs with placement, and what bounds it. The route allows two of three
+/// data centres, the team one.
+constexpr double BoundRouteShare = 0.2;
+constexpr double BoundTeamShare = 0.05;
+constexpr const char *BoundPath = "/bound/";
+constexpr const char *BoundTeam = "locals";
+constexpr const char *RouteRegion = "western";
+constexpr const char *TeamRegion = "southern";
+/// Servers get some 25 requests/s, which is well above the bound of a cold one.
+constexpr Duration ColdTime = seconds(3);
+constexpr double ColdPerS = 6.0;
+/// A server that crashed is back after this time.
+constexpr Duration CrashTime = seconds(1);
+constexpr Duration ColdRefresh = milliseconds(1500);
+
 std::string extraPath(unsigned Version) { return fmt::format("/extra-{}/", Version); }
 std::string rotatingKey(unsigned Version) { return fmt::format("key-rotating-{}", Version); }
 std::string keyOf(const std::string &Team) { return "key-" + Team; }
@@ -49,14 +64,50 @@
   return {{"Columns", std::move(Columns)}, {"Rows", std::move(Rows)}};
 }
 
-std::string configOf(unsigned Version, double LimitedRate) {
+/// Settings of runs with placement; without them none of these rules is in force.
+std::string settingsOf(const RunOptions &Options) {
+  if (!Options.Placement_)
+    return {};
+  return fmt::format("  cold_over: {}\n  cold_slack: {}\n  evacuate_ms: {}\n", Bounds().ColdOver_,
+                     Bounds().ColdSlack_,
+                     std::chrono::duration_cast<milliseconds>(Bounds().Evacuate_).count());
+}
+
+/// Adds what runs with placement have: a bound route, a bound team and services that start cold.
+void addPlacement(json &Config) {
+  const auto Add = [&](const char *Table, const std::vector<json> &Columns,
+                       const std::function<std::vector<json>(const std::string &)> &ValuesOf) {
+    for (const json &Column : Columns)
+      Config[Table]["Columns"].push_back(Column);
+    for (json &Row : Config[Table]["Rows"])
+      for (json &Value : ValuesOf(Row.at(0).get<std::string>()))
+        Row.push_back(Value);
+  };
+  json Bound = Config["Routes"]["Rows"][0];
+  Bound[0] = "bound";
+  Bound[2] = BoundPath;
+  Config["Routes"]["Rows"].push_back(Bound);
+  Config["Tenants"]["Rows"].push_back({BoundTeam, {keyOf(BoundTeam)}, 0, 0, 0});
+  const auto Regions = [](const char *Region) { return std::vector<json>{json::array({Region})}; };
+  const std::vector<json> Any{nullptr};
+  Add("Routes", {"AllowedRegions"},
+      [&](const std::string &Name) { return Name == "bound" ? Regions(RouteRegion) : Any; });
+  Add("Tenants", {"AllowedRegions"},
+      [&](const std::string &Name) { return Name == BoundTeam ? Regions(TeamRegion) : Any; });
+  Add("Services", {"HealthPath", "ColdStartS", "ColdPerS"}, [](const std::string &) {
+    return std::vector<json>{Server::HealthPath, std::chrono::duration<double>(ColdTime).count(),
+                             ColdPerS};
+  });
+}
+
+std::string configOf(unsigned Version, double LimitedRate, bool Placement) {
   const auto Route = [](const char *Name, const std::string &Prefix, const char *Service,
                         const char *Kind, unsigned Attempts, Duration Timeout, bool Open) {
     const auto Ms = std::chrono::duration_cast<milliseconds>(Timeout).count();
     return json::array(
         {Name, HostName, Prefix, Service, Kind, Attempts, Ms, Ms / 2, Open ? 2 : 1, Open});
   };
-  return json{
+  json Config{
       {"Version", Version},
       {"Routes",
        table({"Name", "Host", "Prefix", "Service", "Kind", "MaxAttempts", "TimeoutMs",
@@ -74,15 +125,19 @@
        {{"MaxHeaderBytes", 16384},
         {"MaxBodyBytes", 1000000},
         {"HeaderTimeoutMs", 5000},
-        {"IdleTimeoutMs", 10000}}}}
-      .dump();
+        {"IdleTimeoutMs", 10000}}}};
+  if (Placement)
+    addPlacement(Config);
+  return Config.dump();
 }
 
 } // namespace
 
 SoakRun::SoakRun(const RunOptions &Options, std::string Directory)
-    : Options_(Options), Plan_(makePlan(Options.Seed_, Options.Nodes_, Options.Length_)),
-      Random_(Options.Seed_), Book_(Bounds()), Daemons_(Io_, Options.Nodes_, std::move(Directory)),
+    : Options_(Options),
+      Plan_(makePlan(Options.Seed_, Options.Nodes_, Options.Length_, Options.Placement_)),
+      Random_(Options.Seed_), Book_(Bounds()),
+      Daemons_(Io_, Options.Nodes_, std::move(Directory), settingsOf(Options)),
       Store_(Io_, Daemons_.store()) {
   Nodes_.resize(Options.Nodes_);
   for (std::size_t Number = 0; Number < Options.Nodes_; ++Number) {
@@ -92,6 +147,9 @@
         std::make_unique<node::HttpClient>(Io_, Daemons_.callers(Number), CallerConnections);
     Nodes_[Number].OwnCalls_ =
         std::make_unique<node::HttpClient>(Io_, Daemons_.callers(Number), CallerConnections);
+    if (Options.Placement_)
+      Servers_[Number]->setCold(ColdTime, ColdPerS * Bounds().ColdOver_ + Bounds().ColdSlack_,
+                                [this, Number] { endServer(Number, CrashTime); });
     if (Plan_.LongWork_)
       Servers_[Number]->setWorkTime(LongWorkTime);
     if (Servers_[Number]->service() == "bookings")
@@ -100,7 +158,7 @@
   }
   const double Rate = LimitedRatePerNode * static_cast<double>(Options.Nodes_);
   Book_.setTeamLimit(LimitedTeam, Rate, LimitedBurst);
-  Book_.setPlannedOnly(Plan_.Profile_ == Profile::Planned);
+  Book_.setPlannedOnly(Plan_.Profile_ == Profile::Planned && !Options.Placement_);
 }
 
 SoakRun::~SoakRun() {
@@ -162,6 +220,8 @@
       throw std::runtime_error(std::string(Started.message()));
     list(Number, "ready");
   }
+  if (Options_.Placement_)
+    refreshCold();
   changeConfig();
   std::size_t Ready = 0;
   for (std::size_t Number = 0; Number < Nodes_.size(); ++Number)
@@ -258,6 +318,17 @@
   if ((Dice -= ProbeShare) < 0.0)
     return probe();
   Ask Result = browse();
+  if (Options_.Placement_ && (Dice -= BoundRouteShare) < 0.0) {
+    Result.Path_ = BoundPath;
+    Result.Region_ = RouteRegion;
+    return Result;
+  }
+  if (Options_.Placement_ && (Dice -= BoundTeamShare) < 0.0) {
+    Result.Key_ = keyOf(BoundTeam);
+    Result.Team_ = BoundTeam;
+    Result.Region_ = TeamRegion;
+    return Result;
+  }
   if ((Dice -= LimitedShare) < 0.0) {
     Result.Key_ = keyOf(LimitedTeam);
     Result.Team_ = LimitedTeam;
@@ -291,7 +362,8 @@
             What.MaxRuns_,
             What.Timeout_,
             node::now(),
-            What.Wanted_ != 0 || What.Unexpected_ != 0};
+            What.Wanted_ != 0 || What.Unexpected_ != 0,
+            What.Region_};
   Result.Headers_ = {
       {"Host", HostName}, {Names.RequestId_, Record.Id_}, {Names.Deadline_, std::to_string(Ms)}};
   if (!What.Key_.empty())
@@ -349,7 +421,18 @@
       });
 }
 
+void SoakRun::refreshCold() {
+  for (std::size_t Number = 0; Number < Nodes_.size(); ++Number) {
+    const bool Cold = Servers_[Number]->coldFor() > Duration::zero();
+    // Entries that have lapsed come back with the others.
+    if ((Cold || Nodes_[Number].ListedCold_) && Store_.has("servers/" + Servers_[Number]->id()))
+      list(Number, Nodes_[Number].Leaves_ ? "draining" : "ready");
+  }
+  after(ColdRefresh, [this] { refreshCold(); });
+}
+
 void SoakRun::list(std::size_t Node, const std::string &State) {
+  Nodes_[Node].ListedCold_ = Servers_[Node]->coldFor() > Duration::zero();
   Store_.put("servers/" + Servers_[Node]->id(),
              Servers_[Node]->entry(State, Daemons_.advertised(Node), Daemons::dataCentreOf(Node)));
 }
@@ -358,7 +441,8 @@
   ++Version_;
   Changed_ = node::now();
   Store_.put("op/config",
-             configOf(Version_, LimitedRatePerNode * static_cast<double>(Nodes_.size())));
+             configOf(Version_, LimitedRatePerNode * static_cast<double>(Nodes_.size()),
+                      Options_.Placement_));
 }
 
 void SoakRun::recover() {
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -23,6 +24,7 @@
   std::size_t Nodes_ = 8;
   Duration Length_ = std::chrono::seconds(12); ///< of the time with faults
   double RequestsPerNode_ = 15.0;              ///< a second
+  bool Placement_ = false; ///< with allowed regions, cold servers and evacuations
 };
 
 /// One run: a fleet of real nodes with stand-ins for store, servers and callers, the faults of a
@@ -51,7 +53,9 @@
     int Pauses_ = 0;
     Duration StartAfter_{}; ///< from its end to the next start
     bool Leaves_ = false;   ///< its server drains
-    bool Gone_ = false;     ///< its server has ended, the next one is not listed yet
+    bool ServerDown_ = false;
+    bool ListedCold_ = false; ///< its server, in the store
+    bool Gone_ = false;       ///< its server has ended, the next one is not listed yet
     std::unique_ptr<node::HttpClient> Callers_;
     std::unique_ptr<node::HttpClient> OwnCalls_; ///< of its server
   };
@@ -65,6 +69,7 @@
     bool Idempotent_ = true;
     unsigned MaxRuns_ = 1;
     Duration Timeout_{};
+    std::string Region_;      ///< the only allowed one; empty for any
     unsigned Unexpected_ = 0; ///< status that would show an old configuration; 0 for none
     unsigned Wanted_ = 0;     ///< only status that shows the new configuration; 0 for any
   };
@@ -99,6 +104,10 @@
   void noteEnd(std::size_t Node);
   void startNode(std::size_t Node);
   void leave(std::size_t Node, Duration For);
+  void endServer(std::size_t Node, Duration For);
+  void evacuate(const std::string &DataCentre, Duration For);
+  /// Writes how long the servers stay cold, again and again.
+  void refreshCold();
   void lapse(Duration For);
   void list(std::size_t Node, const std::string &State);
   void changeConfig();
@@ -115,6 +124,7 @@
   std::vector<std::unique_ptr<Server>> Servers_;
   std::vector<Node> Nodes_;
   std::multimap<TimePoint, std::function<void()>> Steps_;
+  std::set<std::string> Evacuated_; ///< data centres
   std::uint64_t Requests_ = 0;
   unsigned Version_ = 0; ///< of the configuration; names its routes and keys too
   TimePoint Changed_{};
--- a/tests/standins/mesh_backend.h
+++ b/tests/standins/mesh_backend.h
@@ -31,6 +31,7 @@
     std::string Target_;
     Clock::time_point At_;
     bool Rejected_ = false; ///< answered 421, because it names another server
+    bool Cold_ = false;     ///< the server was cold
   };
 
   MeshBackend(boost::asio::io_context &Io, node::Endpoint Listen, PlatformStore &Store)
@@ -47,16 +48,18 @@
   bool start() {
     Id_ = "i-" + Listen_.Address_ + "-" + std::to_string(++Run_);
     Up_ = listen();
+    ColdUntil_ = Clock::now() + ColdTime_;
     announce();
     return Up_;
   }
   /// Writes the entry of the server to the store.
   void announce() {
-    Store_.put("servers/" + Id_, json{{"Address", Listen_.str()},
-                                      {"Info", {{"Service", "s"}, {"Zone", Zone_}, {"Slots", 32}}},
-                                      {"Status", {{"State", "ready"}, {"ColdRemainingMs", 0}}},
-                                      {"born", Run_}}
-                                     .dump());
+    Store_.put("servers/" + Id_,
+               json{{"Address", Listen_.str()},
+                    {"Info", {{"Service", "s"}, {"Zone", Zone_}, {"Slots", Slots_}}},
+                    {"Status", {{"State", "ready"}, {"ColdRemainingMs", 0}}},
+                    {"born", Run_}}
+                   .dump());
   }
   /// Ends the server with all of its connections; it starts again after RestartAfter_.
   void crash() {
@@ -74,6 +77,8 @@
     });
   }
 
+  /// Goes on as a cold server.
+  void turnCold(milliseconds Time) { ColdUntil_ = Clock::now() + Time; }
   /// Goes on as another server at the same address, of which the store does not tell.
   void replaceUnlisted() { Id_ += "-replaced"; }
   /// Ends all connections while the server goes on; its requests are not answered.
@@ -94,10 +99,17 @@
   }
 
   std::string Zone_ = "z"; ///< data centre; takes effect with the next announce()
+  unsigned Slots_ = 32;    ///< in its entry; takes effect with the next announce()
   milliseconds ServeTime_{30};
   milliseconds CrashAfter_{20}; ///< from the arrival of a request that crashes the server
   milliseconds RestartAfter_{300};
+  milliseconds ColdTime_{0};    ///< after each start
+  bool SlowIfCold_ = false;     ///< requests take twice the time while the server is cold
   std::string Body_ = "served"; ///< of all answers
+  std::string HealthId_;        ///< that health answers name instead of id()
+  /// Called with each request that runs, if it is set; the request is answered once Answer is
+  /// called.
+  std::function<void(const node::HttpRequest &Request, std::function<void()> Answer)> Work_;
   /// Headers of all answers, in addition to the usual ones.
   std::vector<Header> MoreHeaders_;
 
@@ -115,9 +127,29 @@
     return node::findHeader(Request.Headers_, Name).value_or("");
   }
 
+  milliseconds coldFor() const {
+    const auto Left = std::chrono::ceil<milliseconds>(ColdUntil_ - Clock::now());
+    return std::max(milliseconds(0), Left);
+  }
+
+  void answerHealth(const node::HttpExchangePtr &Exchange) {
+    const milliseconds ColdFor = coldFor();
+    Arrivals_.push_back({"/health", Clock::now(), false, ColdFor > milliseconds(0)});
+    node::HttpResponse Response;
+    Response.Status_ = ColdFor > milliseconds(0) ? 503 : 200;
+    Response.Headers_.push_back({"Instance-Id", HealthId_.empty() ? Id_ : HealthId_});
+    if (ColdFor > milliseconds(0))
+      Response.Headers_.push_back({"Cold-Remaining-Ms", std::to_string(ColdFor.count())});
+    Exchange->respond(std::move(Response));
+  }
+
   void handle(const node::HttpRequest &Request, const node::HttpExchangePtr &Exchange) {
+    if (Request.Target_ == "/health") {
+      answerHealth(Exchange);
+      return;
+    }
     const bool Misdirected = valueOf(Request, "Target-Instance") != Id_;
-    Arrivals_.push_back({Request.Target_, Clock::now(), Misdirected});
+    Arrivals_.push_back({Request.Target_, Clock::now(), Misdirected, coldFor() > milliseconds(0)});
     node::HttpResponse Response;
     Response.Headers_ = MoreHeaders_;
     Response.Headers_.push_back({"Request-Id", valueOf(Request, "Request-Id")});
@@ -133,7 +165,11 @@
     }
     Response.Headers_.push_back({"Server-Signature", "s1"});
     Response.Body_ = Body_;
-    after(ServeTime_, [Exchange, Response] { Exchange->respond(Response); });
+    const auto Answer = [Exchange, Response] { Exchange->respond(Response); };
+    if (Work_)
+      Work_(Request, Answer);
+    else
+      after(ServeTime_ * (SlowIfCold_ && coldFor() > milliseconds(0) ? 2 : 1), Answer);
   }
 
   /// Calls a function after a time, unless this run of the server has ended.
@@ -153,6 +189,7 @@
   std::vector<std::unique_ptr<node::HttpServer>> Servers_; ///< one for each run
   std::string Id_;
   std::uint64_t Run_ = 0;
+  Clock::time_point ColdUntil_{};
   bool Up_ = false;
   int Crashes_ = 0;
   std::vector<Arrival> Arrivals_;
--- a/tests/standins/platform_store.h
+++ b/tests/standins/platform_store.h
@@ -48,6 +48,7 @@
     Unreadable_.insert(Key);
     return put(Key, "");
   }
+  bool has(const std::string &Key) const { return Items_.count(Key) != 0; }
   /// Removes an item without an event, as when the history is lost.
   void drop(const std::string &Key) { Items_.erase(Key); }
   Revision remove(const std::string &Key) {
--- a/tests/unit/backend_choice_test.cpp
+++ b/tests/unit/backend_choice_test.cpp
@@ -38,7 +38,7 @@
 
   std::string choose(const std::set<std::string> &Excluded = {}, double Bytes = 1000.0) {
     const BackendServer *Server =
-        Choice_.choose(Now_, Directory_, Service_, Excluded, seconds(1), Bytes);
+        Choice_.choose(Now_, Directory_, Service_, {Excluded, {}, {}}, seconds(1), Bytes);
     return Server == nullptr ? "" : Server->Id_;
   }
   void finishAttempts(const std::string &Id, AttemptResult Result, int Times) {
@@ -74,7 +74,7 @@
   CHECK(choose() == "i-near");
   Choice_.started("i-near");
   CHECK(choose() == "i-region");
-  CHECK(Choice_.expectedWait(Now_, Directory_, Service_) == Duration::zero());
+  CHECK(Choice_.expectedWait(Now_, Directory_, Service_, {}) == Duration::zero());
   CHECK(Choice_.rateOf(Now_ + seconds(6), "i-near") == 0.0);
 }
 
--- a/tests/unit/backend_gate_test.cpp
+++ b/tests/unit/backend_gate_test.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/write.hpp>
 
 #include "mesh_fixture.h"
+#include "node/clock.h"
 
 using namespace bronzestand;
 using boost::asio::ip::tcp;
@@ -97,21 +98,25 @@
                              });
   }
 
-  /// Sends a request that must not run twice and returns the status of its answer.
-  unsigned post(const std::string &Id) {
-    node::HttpClient Client(Io_, {Host, CallerPort_}, 1);
-    node::HttpRequest Request;
-    Request.Method_ = "POST";
-    Request.Target_ = "/w/" + Id;
-    Request.Headers_ = {{"Host", "a.example"}, {"Request-Id", Id}, {"Deadline-Ms", "1000"}};
-    std::optional<unsigned> Status;
-    Client.send(std::move(Request), std::chrono::seconds(3),
-                [&](node::HttpResult Result, const node::HttpResponse &Response) {
-                  Status = Result == node::HttpResult::Answered ? Response.Status_ : 0;
-                });
-    runUntil([&] { return Status.has_value(); });
-    return Status.value_or(0);
+  /// Sends requests that must not run twice, at the same time, and returns the statuses of their
+  /// answers.
+  std::vector<unsigned> postAll(const std::vector<std::string> &Ids) {
+    node::HttpClient Client(Io_, {Host, CallerPort_}, Ids.size());
+    std::vector<unsigned> Statuses;
+    for (const std::string &Id : Ids) {
+      node::HttpRequest Request;
+      Request.Method_ = "POST";
+      Request.Target_ = "/w/" + Id;
+      Request.Headers_ = {{"Host", "a.example"}, {"Request-Id", Id}, {"Deadline-Ms", "1000"}};
+      Client.send(std::move(Request), std::chrono::seconds(3),
+                  [&](node::HttpResult Result, const node::HttpResponse &Response) {
+                    Statuses.push_back(Result == node::HttpResult::Answered ? Response.Status_ : 0);
+                  });
+    }
+    runUntil([&] { return Statuses.size() == Ids.size(); });
+    return Statuses;
   }
+  unsigned post(const std::string &Id) { return postAll({Id}).front(); }
 };
 
 } // namespace
@@ -193,6 +198,25 @@
   CHECK(post("a") == Status);
 }
 
+// Guards against a caller that waits in vain for, or is passed, a status that is none, against a
+// server that is believed to have crashed because of it, and against a connection that is used
+// again.
+TEST_CASE_METHOD(GateFixture, "backend_gate_status_that_is_not_final_is_unknown") {
+  const std::string Status = GENERATE("000", "099", "100", "103", "199", "600", "999");
+  INFO(Status);
+  const Reply Odd{"HTTP/1.1 " + Status + " Odd\r\nRequest-Id: {id}\r\nServer-Signature: s\r\n" +
+                  "Content-Length: 3\r\n\r\nyes"};
+  Replies_ = {Odd, Odd, Odd, Odd};
+  const TimePoint Start = node::now();
+  CHECK(postAll({"a", "b", "c", "d"}) == std::vector<unsigned>(4, 502));
+  CHECK(node::now() - Start < milliseconds(500)); // half of the time that the callers allow
+  CHECK(Requests_.size() == 4);
+  const json State = stateOf(Host);
+  CHECK(State.at("quarantine").at("crashes") == 0);
+  CHECK(post("e") == 200);
+  CHECK(Accepted_ == 5);
+}
+
 // Guards against an answer whose head is cut short and that is passed on as a whole one.
 TEST_CASE_METHOD(GateFixture, "backend_gate_answer_cut_in_its_head_is_unknown") {
   const std::size_t Left =
@@ -203,3 +227,18 @@
   CHECK(post("a") == 502);
   CHECK(Requests_ == std::vector<std::string>{"a"});
 }
+
+// Guards against a gate that does not read the pace that the server tells, or believes that of an
+// answer which is not the server's.
+TEST_CASE_METHOD(GateFixture, "backend_gate_pace_of_answers_is_told") {
+  const auto Pace = [&] { return stateOf(Host).at("backend_gate").at("pace").get<double>(); };
+  const std::string Load = "Instance-Load: 1,0,4,250\r\n";
+  Replies_ = {{answer(200, "{id}", Load)}};
+  CHECK(post("a") == 502); // not signed
+  CHECK(Pace() == 1.0);
+  Replies_ = {{answer(200, "{id}", "Server-Signature: s1\r\n" + Load)}};
+  CHECK(post("b") == 200);
+  CHECK(Pace() > 2.0);
+  const auto Spread = stateOf(Host).at("entry").at("load_spread");
+  CHECK(Spread.at("s").at("servers") == 1);
+}
--- a/tests/unit/codec_call_test.cpp
+++ b/tests/unit/codec_call_test.cpp
@@ -78,3 +78,39 @@
   Encoded.erase(Encoded.size() - 1);
   CHECK(Encoded.get<Answer>().Crashes_.empty());
 }
+
+// Builds without these fields, and calls that do not need them, keep the earlier form.
+TEST_CASE("codec_call_carries_standing_of_its_root") {
+  Call Sent;
+  const std::size_t Plain = json(Sent).size();
+  RootStanding Root;
+  Root.ClassRank_ = 254;
+  Root.Place_ = 17;
+  Root.Team_ = TeamId("t");
+  Root.Repeated_ = true;
+  Sent.Root_ = Root;
+  const json Frame = Sent;
+  CHECK(Frame.size() > Plain);
+  const auto Received = Frame.get<Call>();
+  REQUIRE(Received.Root_);
+  CHECK(Received.Root_->ClassRank_ == 254);
+  CHECK(Received.Root_->Place_ == 17);
+  CHECK(Received.Root_->Team_ == TeamId("t"));
+  CHECK(Received.Root_->Repeated_);
+  CHECK_FALSE(json(Call()).get<Call>().Root_);
+}
+
+TEST_CASE("codec_answer_carries_pace_and_room") {
+  Answer Sent;
+  Sent.Load_.Pace_ = 1.5;
+  RouteState State;
+  State.Class_ = ClassId("c");
+  State.Room_ = 0.25;
+  Sent.Routes_ = {State};
+  const auto Received = json(Sent).get<Answer>();
+  CHECK(Received.Load_.Pace_ == Approx(1.5));
+  REQUIRE(Received.Routes_.size() == 1);
+  CHECK(Received.Routes_[0].Room_ == Approx(0.25));
+  const auto Plain = json(Answer()).get<Answer>();
+  CHECK(Plain.Load_.Pace_ == 1.0);
+}
--- a/tests/unit/codec_fleet_state_test.cpp
+++ b/tests/unit/codec_fleet_state_test.cpp
@@ -37,7 +37,10 @@
   FleetTeam Unranked;
   Unranked.Spec_.Name_ = TeamId("t2");
   Config.Teams_ = {Team, Unranked};
-  Config.MaxConnections_[ServiceId("s1")] = 316;
+  Config.Services_[ServiceId("s1")].MaxConnections_ = 316;
+  Config.Services_[ServiceId("s2")] = {520, "/health", std::chrono::milliseconds(3000), 13.5};
+  Config.Routes_[0].AllowedRegions_.emplace({RegionId("western")});
+  Config.Teams_[0].AllowedRegions_.emplace({RegionId("western"), RegionId("southern")});
   Config.Limits_ = {8192, 1000, std::chrono::milliseconds(3000), std::chrono::milliseconds(15'000)};
   return Config;
 }
@@ -84,7 +87,16 @@
   CHECK(Team.Spec_.Keys_[1].Withdrawn_);
   CHECK(Team.Rank_ == 4U);
   CHECK_FALSE(Config.Teams_[1].Rank_);
-  CHECK(Config.MaxConnections_.at(ServiceId("s1")) == 316);
+  CHECK(Config.Services_.at(ServiceId("s1")).MaxConnections_ == 316);
+  const ServiceSettings &Service = Config.Services_.at(ServiceId("s2"));
+  CHECK(Service.MaxConnections_ == 520);
+  CHECK(Service.HealthPath_ == "/health");
+  CHECK(Service.ColdStart_ == std::chrono::milliseconds(3000));
+  CHECK(Service.ColdRate_ == 13.5);
+  CHECK(Config.Routes_[0].AllowedRegions_ == AllowedRegions({RegionId("western")}));
+  CHECK_FALSE(Config.Routes_[1].AllowedRegions_);
+  CHECK(Config.Teams_[0].AllowedRegions_->size() == 2);
+  CHECK_FALSE(Config.Teams_[1].AllowedRegions_);
   CHECK(Config.Limits_.HeaderBytes_ == 8192);
   CHECK(Config.Limits_.BodyBytes_ == 1000);
   CHECK(Config.Limits_.HeaderTimeout_ == std::chrono::milliseconds(3000));
@@ -123,9 +135,60 @@
   CHECK(Decoded.Missing_ == std::vector<std::string>{"i-1"});
 }
 
+// Guards against an evacuation that is lost between nodes, and against messages of fleets without
+// one that nodes of the previous build would not read.
+TEST_CASE("codec_fleet_state_evacuated_data_centres_are_appended_if_any") {
+  FleetStateReply Reply;
+  Reply.Position_ = {2, 31};
+  Reply.Servers_.emplace();
+  CHECK(encodeFleetState(Reply) == json::parse("[1,2,31,false,null,[],[]]"));
+  CHECK(roundTrip(Reply).Evacuated_.empty());
+  Reply.Evacuated_ = {DataCentreId("east"), DataCentreId("west")};
+  CHECK(roundTrip(Reply).Evacuated_ == Reply.Evacuated_);
+}
+
+// Guards against a field of the messages of readers that is lost, against a follower that a node of
+// the previous build does not understand, and against notices that cost more than planned.
+TEST_CASE("codec_fleet_state_messages_of_readers_round_trip") {
+  const auto Decode = [](const FleetStateBody &In) {
+    return decodeFleetState(json::from_cbor(json::to_cbor(encodeFleetState(In))));
+  };
+  CHECK(encodeFleetState(FleetFollow{{{2, 31}, 7}, {5}}) == json::parse("[0,2,31,7,5]"));
+  CHECK(std::get<FleetFollow>(Decode(FleetFollow{{{2, 31}, 7}, {5}})).Follow_.Sequence_ == 5);
+  const ReaderNotice Notice{
+      ReaderState::Lost, {2, 31}, 40, std::chrono::milliseconds(1510), 5, false};
+  const auto Out = std::get<ReaderNotice>(Decode(Notice));
+  CHECK(Out.State_ == ReaderState::Lost);
+  CHECK(Out.Known_ == Notice.Known_);
+  CHECK(Out.Checked_ == 40);
+  CHECK(Out.ResponseAge_ == Notice.ResponseAge_);
+  CHECK(Out.Echo_ == 5);
+  CHECK_FALSE(Out.Trusted_);
+  CHECK(json::to_cbor(encodeFleetState(Notice)).size() <= 16);
+  FleetChange Change;
+  Change.From_ = {2, 31};
+  Change.To_ = {2, 33};
+  Change.Config_ = sampleConfig();
+  BackendServer Server;
+  Server.Id_ = "i-1";
+  Change.put(Server);
+  Change.remove("i-2");
+  Change.Evacuated_ = {{DataCentreId("east"), true}, {DataCentreId("west"), false}};
+  const auto Changed = std::get<FleetChange>(Decode(Change));
+  CHECK(Changed.From_ == Change.From_);
+  CHECK(Changed.To_ == Change.To_);
+  CHECK(Changed.Config_->Version_ == 7);
+  CHECK(Changed.Servers_.count("i-1") == 1);
+  CHECK(Changed.Removed_ == Change.Removed_);
+  CHECK(Changed.Evacuated_ == Change.Evacuated_);
+}
+
 // Guards against a malformed message that ends the node or is taken as a state.
 TEST_CASE("codec_fleet_state_malformed_message_is_rejected") {
-  for (const char *Text : {"[]", "[2,1,1,1]", "[0,1]", "[0,1,1,\"x\"]", "[1,1,1,true,[1],null]",
-                           "[1,1,1,true,null,[[1]]]", "[1,1,1,1,null,null]", "{}"})
+  for (const char *Text :
+       {"[]", "[2,1,1,1]", "[0,1]", "[0,1,1,\"x\"]", "[1,1,1,true,[1],null]",
+        "[1,1,1,true,null,[[1]]]", "[1,1,1,true,null,[],[],[1]]", "[1,1,1,1,null,null]", "{}",
+        "[0,1,1,1,24]", "[2,1,1,3,true,0,1,5]", "[2,1,1,0,true,0,1,-5]", "[2,1,1,0,true,0,99,5]",
+        "[3,1,2,1,true,null,[[1]],[],[]]"})
     CHECK_THROWS_AS(decodeFleetState(json::parse(Text)), json::exception);
 }
--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -278,6 +278,40 @@
   CHECK(request("a").first == HttpResult::TimedOut);
 }
 
+// Guards against a request that waits for its whole time on a server that has answered with a
+// status that is none, and against such an answer that is passed on.
+TEST_CASE_METHOD(ClientFixture, "client_status_that_is_not_final_ends_the_request_at_once") {
+  const std::string Status = GENERATE("000", "099", "100", "101", "103", "199", "600", "999");
+  const std::string Open = "HTTP/1.1 " + Status + " Odd\r\nRequest-Id: a\r\n";
+  INFO(Status);
+  // The last two state no length, so that their bodies look like the begin of a next answer.
+  Replies_ = {{Open + "Content-Length: 3\r\n\r\nyes"},
+              {Open + "Content-Length: 3\r\n\r\n", false, "", false, "yes"},
+              {Open + "Content-Length: 0\r\n\r\n"},
+              {Open + "Transfer-Encoding: chunked\r\n\r\n3\r\nyes\r\n0\r\n\r\n"},
+              {Open + "\r\nyes"},
+              {Open + "\r\n", false, "", false, "HTTPyes"}};
+  const int Cases = static_cast<int>(Replies_.size());
+  for (int Number = 0; Number < Cases; ++Number)
+    CHECK(request("a").first == HttpResult::Invalid);
+  CHECK(Accepted_ == Cases);
+}
+
+// Guards against a final answer that is lost because an interim one precedes it.
+TEST_CASE_METHOD(ClientFixture, "client_interim_answer_before_a_final_one_is_skipped") {
+  const std::string Interim =
+      GENERATE("HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n",
+               "HTTP/1.1 199 Other\r\nRequest-Id: a\r\n\r\n");
+  const std::string Final = answerTo("a", "one");
+  Replies_ = {{Interim + Final},
+              {Interim, false, "", false, Final},
+              {Interim + Final.substr(0, 3), false, "", false, Final.substr(3)},
+              {Interim + Interim + Final}};
+  for (int Number = 0; Number < 4; ++Number)
+    CHECK(request("a") == std::make_pair(HttpResult::Answered, std::string("one")));
+  CHECK(Accepted_ == 1);
+}
+
 // Guards against memory that grows, and a request that waits for its whole time, while a server
 // sends bytes without end, in a head, in a body or as no answer at all.
 TEST_CASE_METHOD(ClientFixture, "client_endless_bytes_end_the_request_and_the_connection") {
@@ -407,3 +441,29 @@
     CHECK((**End).second == Large);
   }
 }
+
+// Guards against sound answers that are given up after their requests have run, because all at once
+// exceed the bound although they fit one after another; with and without a stated length.
+TEST_CASE_METHOD(BudgetFixture, "client_sound_answers_over_the_bound_arrive_one_after_another") {
+  constexpr std::size_t Answers = 20; // together nearly four times MaxBytes
+  const std::string Large(1'500'000, 'y');
+  std::vector<std::shared_ptr<Result>> Ends;
+  for (std::size_t Number = 0; Number < Answers; ++Number) {
+    const std::string Id = "s" + std::to_string(Number);
+    std::string Unstated = "HTTP/1.1 200 OK\r\nRequest-Id: ";
+    Unstated.append(Id).append("\r\n\r\n").append(Large);
+    const Reply Next = Number % 2 == 0 ? Reply{answerTo(Id, Large)} : Reply{Unstated, true};
+    Ends.push_back(start(Id, Next));
+  }
+  const auto Until = std::chrono::steady_clock::now() + Limit;
+  while (std::chrono::steady_clock::now() < Until &&
+         std::any_of(Ends.begin(), Ends.end(), [](const auto &End) { return !*End; }))
+    runOnce();
+  CHECK(Most_ <= MaxBytes);
+  for (const auto &End : Ends) {
+    REQUIRE(*End);
+    CHECK((**End).first == HttpResult::Answered);
+    CHECK(((**End).second == Large)); // not printed if it fails
+  }
+  CHECK(Bounded_.answerBytes() == 0);
+}
--- a/tests/unit/http_server_close_test.cpp
+++ b/tests/unit/http_server_close_test.cpp
@@ -176,3 +176,29 @@
   CHECK(connections() < Callers);
   CHECK(connections() > 0);
 }
+
+// Guards against requests that wait for their bodies or their answers when the server is destroyed
+// and are never released, because they and their connections refer to each other.
+TEST_CASE("server_destroyed_with_pending_request_releases_it") {
+  const std::string Length = GENERATE("0", "10");
+  boost::asio::io_context Io;
+  const Endpoint Address{"127.0.0.1", bronzestand::freePort()};
+  const auto Token = std::make_shared<int>();
+  bool Handled = false;
+  auto Server = std::make_unique<HttpServer>(
+      Io, Address, HttpServerLimits(),
+      [&](const HttpRequest & /*Request*/, const HttpExchangePtr &Exchange) {
+        Handled = true;
+        Exchange->onCancelled([Token, Exchange] {});
+        Exchange->receiveBody([Token, Exchange](const std::string & /*Body*/) {});
+      },
+      HttpServerOptions{true, nullptr});
+  REQUIRE(Server->start().ok());
+  SlowCaller Caller(Address);
+  Caller.send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " + Length + "\r\n\r\n");
+  while (!Handled)
+    REQUIRE(Io.run_one_for(5s) == 1);
+  REQUIRE(Token.use_count() > 1);
+  Server.reset();
+  CHECK(Token.use_count() == 1);
+}
--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -171,3 +171,22 @@
     std::this_thread::yield();
   CHECK(Cancelled_ == 1);
 }
+
+// Guards against callers that open connections and send nothing, or part of a head, and so shut out
+// ordinary callers.
+TEST_CASE_METHOD(ServerFixture, "server_silent_connections_make_way_for_callers") {
+  HttpServerLimits Limits;
+  Limits.Connections_ = 4;
+  withServer([&](HttpServer &Server) { Server.setLimits(Limits); });
+  boost::asio::io_context Io;
+  std::vector<boost::asio::ip::tcp::socket> Silent;
+  for (std::size_t Index = 0; Index < 2 * Limits.Connections_; ++Index) {
+    Silent.emplace_back(Io);
+    Silent.back().connect({boost::asio::ip::make_address(Address_.Address_), Address_.Port_});
+    if (Index % 2 == 0)
+      boost::asio::write(Silent.back(), boost::asio::buffer(std::string("GET / HT")));
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+  CHECK(has(exchange("GET /a HTTP/1.1\r\nHost: a\r\n\r\n"), "GET /a"));
+  CHECK(withServer([](HttpServer &Server) { return Server.connections(); }) <= Limits.Connections_);
+}
--- a/tests/unit/mesh_backend_fixture.h
+++ b/tests/unit/mesh_backend_fixture.h
@@ -9,7 +9,8 @@
 namespace bronzestand {
 
 /// Four nodes in one process, each beside a backend server of the same service. Requests to
-/// "/safe/" may be repeated, those to "/once/" may not.
+/// "/safe/" and "/open/" may be repeated, those to "/once/" may not. The route "/open/" never needs
+/// a key.
 struct MeshBackendFixture : MeshFixture {
   static constexpr std::size_t ServerCount = 4;
 
@@ -28,11 +29,17 @@
 
   std::vector<std::unique_ptr<standin::MeshBackend>> Backends_;
 
-  MeshBackendFixture() {
+  /// \param Near servers in the data centre "z" of the region "r"; the others are in "far" of "q".
+  /// \param Cold as Cold_.
+  explicit MeshBackendFixture(std::size_t Near = ServerCount,
+                              std::optional<std::pair<double, double>> Cold = std::nullopt) {
+    Cold_ = Cold;
     putConfigWithRetries(3);
     for (std::size_t Index = 0; Index < ServerCount; ++Index) {
       Backends_.push_back(std::make_unique<standin::MeshBackend>(
           Io_, node::Endpoint{hostOf(Index), BackendPort_}, Store_));
+      if (Index >= Near)
+        DataCentres_[hostOf(Index)] = Backends_.back()->Zone_ = "far";
       REQUIRE(Backends_.back()->start());
     }
     for (std::size_t Index = 0; Index < ServerCount; ++Index)
@@ -46,18 +53,22 @@
 
   /// Stores a configuration whose requests may reach three servers.
   /// \param Open whether its routes need no key; the caller has one in any case.
-  void putConfigWithRetries(std::uint64_t Version, bool Open = true) {
+  /// \param ColdRate requests/s of a cold server; 0 if the servers are never cold.
+  void putConfigWithRetries(std::uint64_t Version, bool Open = true, double ColdRate = 0.0) {
     json Rows = json::array();
     for (const auto &[Prefix, Kind] : {std::pair("/safe/", "safe"), std::pair("/once/", "unsafe")})
       Rows.push_back({Prefix, "a.example", Prefix, Kind, "s", Open, 3, 2});
+    Rows.push_back({"/open/", "a.example", "/open/", "safe", "s", true, 3, 2});
     const json Columns{"Name",    "Host",   "Prefix",      "Kind",
                        "Service", "Public", "MaxAttempts", "Priority"};
-    Store_.put("op/config",
-               json{{"Version", Version},
-                    {"Routes", {{"Columns", Columns}, {"Rows", Rows}}},
-                    {"Tenants",
-                     {{"Columns", {"Name", "ApiKeys"}}, {"Rows", json::array({{"t", {"key"}}})}}}}
-                   .dump());
+    json Config{
+        {"Version", Version},
+        {"Routes", {{"Columns", Columns}, {"Rows", Rows}}},
+        {"Tenants", {{"Columns", {"Name", "ApiKeys"}}, {"Rows", json::array({{"t", {"key"}}})}}}};
+    if (ColdRate > 0.0)
+      Config["Services"] = {{"Columns", {"Name", "HealthPath", "ColdStartS", "ColdPerS"}},
+                            {"Rows", json::array({json::array({"s", "/health", 2, ColdRate})})}};
+    Store_.put("op/config", Config.dump());
   }
 
   /// Sends a request to the node at a position; the reply is filled in while the event loop runs.
--- a/tests/unit/mesh_crash_test.cpp
+++ b/tests/unit/mesh_crash_test.cpp
@@ -125,12 +125,27 @@
 // servers crashed.
 TEST_CASE_METHOD(MeshCrashFixture, "mesh_crash_of_half_of_the_servers_leaves_requests_in_time") {
   constexpr std::size_t Requests = 100;
+  const milliseconds ServeTime = GENERATE(60ms, 100ms);
+  INFO(ServeTime.count());
   for (const auto &Server : Backends_)
-    Server->ServeTime_ = 60ms;
+    Server->ServeTime_ = ServeTime;
+  // All requests run when the servers crash, however fast the machine is.
+  std::vector<std::function<void()>> Held;
+  for (const std::size_t Index : {0U, 1U})
+    Backends_[Index]->Work_ = [&](const node::HttpRequest &, std::function<void()> Answer) {
+      Held.push_back(std::move(Answer));
+    };
   std::vector<ReplyPtr> Running;
   for (std::size_t Number = 0; Number < Requests; ++Number)
     Running.push_back(sendTo(Number, "/once/" + std::to_string(Number), "b"));
-  wait(30ms);
+  REQUIRE(runUntil([&] {
+    return std::accumulate(Backends_.begin(), Backends_.end(), std::size_t{0},
+                           [](std::size_t Sum, const auto &Item) {
+                             return Sum + Item->arrivals().size();
+                           }) >= Requests;
+  }));
+  for (const std::size_t Index : {0U, 1U})
+    Backends_[Index]->Work_ = nullptr;
   Backends_[0]->crash();
   Backends_[1]->crash();
   wait(50ms);
--- a/tests/unit/mesh_fixture.h
+++ b/tests/unit/mesh_fixture.h
@@ -1,6 +1,7 @@
 #ifndef BRONZESTAND_TESTS_MESH_FIXTURE_H
 #define BRONZESTAND_TESTS_MESH_FIXTURE_H
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -25,14 +26,23 @@
   using json = nlohmann::json;
   using milliseconds = std::chrono::milliseconds;
 
+  /// Time within which an evacuated data centre must get no more requests.
+  static constexpr milliseconds EvacuateTime{1500};
+
   boost::asio::io_context Io_;
   Duration GracePeriod_ = std::chrono::seconds(6); ///< of the nodes that are started from now on
+  /// ColdOver_ and ColdSlack_ of the nodes that are started from now on.
+  std::optional<std::pair<double, double>> Cold_;
+  ServiceId Service_{"s"};                                  ///< the same
+  std::size_t MemoryBytes_ = node::Settings().MemoryBytes_; ///< the same
+  std::optional<std::uint16_t> MetricsPort_;                ///< the same
   const std::uint16_t StorePort_ = freePort();
   const std::uint16_t CallerPort_ = freePort();
   const std::uint16_t PeerPort_ = freePort();
   const std::uint16_t OperatorPort_ = freePort();
   const std::uint16_t BackendPort_ = freePort();
   standin::PlatformStore Store_{Io_, {"127.0.0.1", StorePort_}};
+  std::map<std::string, std::string> DataCentres_; ///< of hosts that are not in "z"
   std::vector<std::unique_ptr<node::MeshNode>> Nodes_;
   std::vector<std::unique_ptr<node::MeshNode>> Stopped_; ///< kept for handlers that still run
 
@@ -50,9 +60,10 @@
                  boost::asio::io_context *Loop = nullptr) {
     node::Settings Config;
     Config.Host_ = HostId(Host);
-    Config.DataCentre_ = DataCentreId("z");
-    Config.Region_ = RegionId("r");
-    Config.Service_ = ServiceId("s");
+    const auto Found = DataCentres_.find(Host);
+    Config.DataCentre_ = DataCentreId(Found == DataCentres_.end() ? "z" : Found->second);
+    Config.Region_ = RegionId(Config.DataCentre_ == DataCentreId("z") ? "r" : "q");
+    Config.Service_ = Service_;
     Config.CallerListen_ = {Host, CallerPort_};
     Config.PeerListen_ = {Host, PeerPort_};
     Config.OperatorListen_ = {Host, OperatorPort_};
@@ -61,6 +72,12 @@
     Config.Mesh_->Store_ = {"127.0.0.1", StorePort.value_or(StorePort_)};
     Config.Mesh_->Regions_ = {{"z", "r"}, {"far", "q"}};
     Config.Mesh_->GracePeriod_ = GracePeriod_;
+    if (Cold_)
+      std::tie(Config.Mesh_->ColdOver_, Config.Mesh_->ColdSlack_) = *Cold_;
+    Config.Mesh_->EvacuateTime_ = EvacuateTime;
+    Config.MemoryBytes_ = MemoryBytes_;
+    if (MetricsPort_)
+      Config.Mesh_->MetricsListen_ = node::Endpoint{Host, *MetricsPort_};
     Nodes_.push_back(std::make_unique<node::MeshNode>(
         Loop == nullptr ? Io_ : *Loop, Config, platform::headerNames(),
         [](boost::asio::io_context &Io, const node::Settings &Values, node::FleetState &Fleet,
@@ -71,12 +88,14 @@
   }
 
   /// Ends the node at a position at once and starts another one in its place.
-  void restartNode(std::size_t Index, const std::string &Host) {
+  void restartNode(std::size_t Index, const std::string &Host,
+                   std::optional<std::uint16_t> StorePort = std::nullopt,
+                   boost::asio::io_context *Loop = nullptr) {
     Nodes_[Index]->shutdown();
     Nodes_[Index]->shutdown(); // the second call ends it without waiting
     Io_.restart();
     Stopped_.push_back(std::move(Nodes_[Index]));
-    startNode(Host);
+    startNode(Host, StorePort, Loop);
     Nodes_[Index] = std::move(Nodes_.back());
     Nodes_.pop_back();
   }
--- a/tests/unit/mesh_node_test.cpp
+++ b/tests/unit/mesh_node_test.cpp
@@ -64,6 +64,22 @@
                  ApplyTime));
 }
 
+// Guards against calls to an evacuated data centre by a node that the store turns away, and against
+// one that never uses it again.
+TEST_CASE_METHOD(TwoNodesFixture, "mesh_node_refused_by_store_learns_evacuation_from_peer") {
+  Replica_.setFailure(503);
+  Replica_.failWatches(503);
+  const auto Evacuated = [&] { return stateOf(Second).at("fleet_state").at("evacuated"); };
+  Store_.put("op/evacuate/far", "");
+  const auto IsUnused = [&] {
+    const json Items = Evacuated();
+    return Items.size() == 1 && Items[0].at("data_centre") == "far" && Items[0].at("unused");
+  };
+  REQUIRE(runUntil(IsUnused, EvacuateTime));
+  Store_.remove("op/evacuate/far");
+  CHECK(runUntil([&] { return Evacuated().empty(); }, ApplyTime));
+}
+
 // Guards against definite refusals that are withheld although a peer knows that nothing is missing.
 TEST_CASE_METHOD(TwoNodesFixture, "mesh_node_refused_by_store_with_confirmed_peer_returns_404") {
   Replica_.setFailure(503);
--- a/tests/unit/platform_decode_test.cpp
+++ b/tests/unit/platform_decode_test.cpp
@@ -34,6 +34,16 @@
 /// Time of the tests; the server of ServerText has been running for some minutes.
 constexpr std::uint64_t WallMicroseconds = 1'700'000'900'000'000;
 
+/// A configuration with allowed regions and cold starts.
+const std::string PlacementText = R"({"Version":7,
+ "Routes":{"Columns":["Name","Host","Prefix","Kind","Service","AllowedRegions"],
+  "Rows":[["r-1","a.example","/x/","unsafe","s1",["western"],null],
+          ["r-2","b.example","/y/","safe","s2",[]]]},
+ "Services":{"Columns":["Name","HealthPath","MaxConnections","ColdStartS","ColdPerS"],
+  "Rows":[["s1","/health",910,3.0,13.5],["s2","/health",520]]},
+ "Tenants":{"Columns":["Name","ApiKeys","RatePerS","Burst","AllowedRegions"],
+  "Rows":[["t1",["key-one"],40,50,["southern","western"]],["t2",["key-two"],40,50,[]]]}})";
+
 std::string withReplacement(const std::string &Text, const std::string &Old,
                             const std::string &New) {
   std::string Result = Text;
@@ -191,7 +201,41 @@
   CHECK_FALSE(Config->Teams_[1].Rank_.has_value());
   CHECK(Config->Teams_[1].Spec_.Rate_ == 0.0);
   CHECK(Config->Limits_.HeaderTimeout_ == std::chrono::milliseconds(3000));
-  CHECK(Config->MaxConnections_.at(ServiceId("s1")) == 316);
+  CHECK(Config->Services_.at(ServiceId("s1")).MaxConnections_ == 316);
+}
+
+// Guards against allowed regions and cold-start figures that are lost or stored in the wrong
+// member.
+TEST_CASE("decode_config_regions_and_cold_start_fill_all_fields") {
+  const auto Config = decodeConfig(PlacementText);
+  REQUIRE(Config.ok());
+  CHECK(Config->Routes_.at(0).AllowedRegions_ == AllowedRegions({RegionId("western")}));
+  CHECK_FALSE(Config->Routes_.at(1).AllowedRegions_);
+  CHECK(Config->Teams_.at(0).AllowedRegions_ ==
+        AllowedRegions({RegionId("southern"), RegionId("western")}));
+  CHECK_FALSE(Config->Teams_.at(1).AllowedRegions_);
+  const ServiceSettings &Cold = Config->Services_.at(ServiceId("s1"));
+  CHECK(Cold.MaxConnections_ == 910);
+  CHECK(Cold.HealthPath_ == "/health");
+  CHECK(Cold.ColdStart_ == std::chrono::milliseconds(3000));
+  CHECK(Cold.ColdRate_ == 13.5);
+  CHECK(Config->Services_.at(ServiceId("s2")).ColdRate_ == 0.0);
+}
+
+// Guards against regions of another type that are taken for no restriction, and against cold-start
+// figures that are negative, huge or incomplete.
+TEST_CASE("decode_config_invalid_regions_or_cold_start_are_refused") {
+  const std::vector<std::pair<std::string, std::vector<std::string>>> Replacements{
+      {R"(["western"],)", {"\"western\",", "[7],", "{\"a\":1},", "[null],"}},
+      {R"(["southern","western"])", {"\"southern\"", "7", "[[]]", "true"}},
+      {"3.0,13.5",
+       {"-1,13.5", "3.0,-1", "1e300,13.5", "3.0,1e300", "null,13.5", "3.0,null", "0,13.5", "3.0,0",
+        "true,13.5", "3.0,\"13\"", "[],13.5"}}};
+  for (const auto &[Old, Values] : Replacements)
+    for (const std::string &New : Values) {
+      INFO(Old << " -> " << New);
+      CHECK_FALSE(decodeConfig(withReplacement(PlacementText, Old, New)).ok());
+    }
 }
 
 // Guards against plaintext keys in the decoded configuration, and against hashes that do not match
--- a/tests/unit/quarantine_test.cpp
+++ b/tests/unit/quarantine_test.cpp
@@ -307,3 +307,16 @@
   CHECK(RequestFingerprint != fingerprintOf("POST /order", Team, "x"));
   CHECK(RequestFingerprint != fingerprintOf("POST /orders", Team, "y"));
 }
+
+// Guards against suspects that wait for each other until their time is over, and against more of
+// them at the same time than are needed for that.
+TEST_CASE("quarantine_more_suspects_run_beside_others_if_they_would_wait_too_long") {
+  using std::chrono::milliseconds;
+  const milliseconds Allowed(1100);
+  CHECK(Quarantine::waitingPerStart(25, milliseconds(20), Allowed) == Quarantine::MostPerStart);
+  const std::size_t PerStart = Quarantine::waitingPerStart(25, milliseconds(100), Allowed);
+  CHECK(Quarantine::expectedWait(25, milliseconds(100)) > Allowed);
+  CHECK(Quarantine::expectedWait(25, milliseconds(100), PerStart) <= Allowed);
+  CHECK(PerStart > Quarantine::LeastPerStart);
+  CHECK(Quarantine::waitingPerStart(25, Allowed, Allowed) == Quarantine::LeastPerStart);
+}
--- a/tests/unit/return_order_test.cpp
+++ b/tests/unit/return_order_test.cpp
@@ -1,6 +1,7 @@
 #include "bronzestand/return_order.h"
 
 #include <algorithm>
+#include <array>
 #include <map>
 #include <memory>
 
@@ -183,3 +184,18 @@
   CHECK(Most <= TimeLeft / 3);
   CHECK(Most >= 2 * Least);
 }
+
+// Guards against callers that are refused for lack of room and come back at the same moment, or
+// after they have too little time left.
+TEST_CASE("return_order_lack_of_room_callers_come_back_over_the_time_in_which_it_is_free") {
+  ReturnOrder Order(1);
+  std::array<int, 4> Counts{};
+  for (int Number = 0; Number < 4000; ++Number) {
+    const Duration Wait = Order.retryWithin(2400ms, 9s);
+    REQUIRE(Wait >= 800ms);
+    REQUIRE(Wait < 2400ms);
+    ++Counts.at(static_cast<std::size_t>((Wait - 800ms) / 400ms));
+    REQUIRE(Order.retryWithin(20s, 3s) <= 1s);
+  }
+  CHECK(*std::min_element(Counts.begin(), Counts.end()) >= 900);
+}
--- /dev/null
+++ b/tests/unit/room_meter_test.cpp
@@ -0,0 +1,95 @@
+#include "bronzestand/room_meter.h"
+
+#include <random>
+
+#include <catch2/catch.hpp>
+
+#include "bronzestand/route_health.h"
+
+using namespace bronzestand;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int PerSecond = 200;
+const ServiceId Service("s");
+const ClassId Class("c");
+
+/// One node that calls a service with a constant rate and doesn't repeat its calls.
+struct CallerFixture {
+  RoomMeter Rooms_;
+  std::mt19937_64 Random_{7};
+  TimePoint Now_{1000s};
+
+  /// Makes calls for a time, of which a share is rejected.
+  void call(Duration Time, double Rejected, int Rate = PerSecond) {
+    for (const TimePoint End = Now_ + Time; Now_ < End; Now_ += Duration(1s) / Rate) {
+      Rooms_.first(Now_, Service, Class);
+      Rooms_.arrived(Now_, Service, std::uniform_real_distribution<double>()(Random_) >= Rejected);
+    }
+  }
+};
+
+} // namespace
+
+// Guards against a node that refuses requests for a service whose servers reject hardly any call.
+TEST_CASE_METHOD(CallerFixture, "room_meter_few_rejections_room_is_full") {
+  call(10s, 0.03);
+  CHECK_FALSE(Rooms_.isDegraded(Service));
+  CHECK(Rooms_.room(Now_, Service, 0.0).Share_ == 1.0);
+  CHECK(Rooms_.told(Now_).empty());
+}
+
+// Guards against a room that does not follow the retries that are left, and against one that rises
+// because fewer requests are admitted.
+TEST_CASE_METHOD(CallerFixture, "room_meter_half_is_rejected_room_is_share_of_usual_calls") {
+  call(10s, 0.0);
+  call(1s, 0.5);
+  REQUIRE(Rooms_.isDegraded(Service));
+  CHECK(Rooms_.accepted(Now_, Service) == Approx(0.5).margin(0.1));
+  CHECK(Rooms_.room(Now_, Service, 10.0 * PerSecond).Share_ == 1.0);
+  CHECK(Rooms_.room(Now_, Service, 0.0).Share_ < 1.0);
+  double Before = 1.0;
+  for (int Step = 0; Step < 20; ++Step) {
+    call(100ms, 0.5, PerSecond / 10);
+    Before = Rooms_.room(Now_, Service, 0.4 * PerSecond).Share_;
+  }
+  // Each call needs a retry, and 0.4 retries per usual call are spread over two seconds.
+  CHECK(Before == Approx(0.2).margin(0.08));
+}
+
+// Guards against a service that is limited for long after its servers accept everything again,
+// while few requests are admitted.
+TEST_CASE_METHOD(CallerFixture, "room_meter_rejections_end_few_calls_show_it") {
+  call(10s, 0.0);
+  call(5s, 0.55);
+  REQUIRE(Rooms_.isDegraded(Service));
+  call(1s, 0.0, 20);
+  CHECK_FALSE(Rooms_.isDegraded(Service));
+  CHECK(Rooms_.told(Now_) == std::vector<ServiceId>{Service});
+  CHECK(Rooms_.told(Now_ + 3s).empty());
+}
+
+// Guards against a service that stays limited because nobody calls it.
+TEST_CASE_METHOD(CallerFixture, "room_meter_no_more_calls_degradation_ends") {
+  call(10s, 0.0);
+  call(2s, 1.0);
+  REQUIRE(Rooms_.isDegraded(Service));
+  CHECK(Rooms_.room(Now_ + 6s, Service, 0.0).Share_ == 1.0);
+  CHECK_FALSE(Rooms_.isDegraded(Service));
+}
+
+// Guards against requests that are refused although most of them would succeed: with one answer
+// each, refusing them spares no work of others.
+TEST_CASE("route_admission_class_needs_one_answer_is_admitted") {
+  RouteAdmission Admission;
+  RouteState State;
+  State.Limit_ = Class;
+  State.Room_ = 0.1;
+  State.Open_ = 0.5;
+  Admission.update(TimePoint(100s), {{Class, 1, State}});
+  CHECK(Admission.share(Class) == 1.0);
+  State.Answers_ = 8.0;
+  Admission.update(TimePoint(100s), {{Class, 1, State}});
+  CHECK(Admission.share(Class) == Approx(0.1));
+}
--- a/tests/unit/route_health_test.cpp
+++ b/tests/unit/route_health_test.cpp
@@ -216,3 +216,32 @@
   for (const Node &Item : Nodes_)
     CHECK(Item.Admission_.isOpen());
 }
+
+// Guards against calls that cannot be matched to their runs, because they have a time limit of
+// their own: the class that makes them then counts as needing no answer, and is not limited.
+TEST_CASE("route_health_calls_of_unknown_runs_count_for_the_class_that_fails") {
+  constexpr std::size_t CallsOfRun = 4;
+  const ClassId Leaf("leaf");
+  const ClassId Needing("needing");
+  const ClassId Other("other");
+  RouteHealth Health;
+  TimePoint Now{100s};
+  const auto Run = [&](RunEnd End) {
+    Now += 10ms;
+    Health.ended(Now, Other, RunEnd::Served);
+    for (std::size_t Number = 0; Number < CallsOfRun; ++Number)
+      Health.called(Now, Leaf);
+    Health.ended(Now, Needing, End);
+  };
+  for (int Number = 0; Number < 300; ++Number)
+    Run(RunEnd::Served);
+  for (int Number = 0; Number < 60; ++Number) {
+    Health.measured(Now, Leaf, 0.45, {0.2, 0.5});
+    Run(RunEnd::Failed);
+  }
+  const auto State = Health.find(Now, Needing);
+  REQUIRE(State);
+  CHECK(State->Limit_ == Leaf);
+  CHECK(State->Answers_ == Approx(CallsOfRun).epsilon(0.1));
+  CHECK_FALSE(Health.isLimited(Now, Other));
+}
--- a/tests/unit/shed_level_test.cpp
+++ b/tests/unit/shed_level_test.cpp
@@ -59,3 +59,27 @@
   CHECK(Table.of(Start + std::chrono::seconds(5), Service) < 0.1);
   CHECK(Table.of(Start, ServiceId("b")) == 0.0);
 }
+
+// Guards against a full region that refuses requests which may run elsewhere, and against an
+// overload of all regions that refuses none.
+TEST_CASE("shed_table_full_region_refuses_only_requests_bound_to_it") {
+  ShedTable Table;
+  const TimePoint Now(std::chrono::seconds(100));
+  const ServiceId Service("a");
+  const RegionId East("east");
+  const RegionId West("west");
+  const AllowedRegions OnlyEast(std::in_place, {East});
+  const AllowedRegions OnlyWest(std::in_place, {West});
+  for (int Number = 0; Number < 50; ++Number) {
+    Table.reportOf(Now, Service, 2.0, OnlyEast, East, {East});
+    Table.reportOf(Now, Service, 2.0, std::nullopt, East, {East, West});
+    Table.reportOf(Now, Service, 0.0, std::nullopt, West, {East, West});
+  }
+  CHECK(Table.of(Now, Service, OnlyEast) > 1.9);
+  CHECK(Table.of(Now, Service, OnlyWest) == 0.0);
+  CHECK(Table.of(Now, Service) == 0.0);
+  CHECK(Table.highest(Now) == 0.0);
+  for (int Number = 0; Number < 50; ++Number)
+    Table.reportOf(Now, Service, 2.0, std::nullopt, West, {East, West});
+  CHECK(Table.of(Now, Service) > 1.9);
+}
--- a/tests/unit/store_fixture.h
+++ b/tests/unit/store_fixture.h
@@ -24,6 +24,9 @@
 /// Time after an outage of the store at which every node must be up to date again.
 constexpr milliseconds ContactTime{3000};
 
+/// Time within which an evacuated data centre must get no more requests.
+constexpr milliseconds EvacuateTime{1000};
+
 /// A watch on a local stand-in for the platform's store.
 struct StoreFixture {
   boost::asio::io_context Io_;
@@ -38,6 +41,9 @@
     Config_.Host_ = HostId("10.0.0.1");
     Config_.Mesh_.emplace();
     Config_.Mesh_->Store_ = {"127.0.0.1", Port_};
+    Config_.DataCentre_ = DataCentreId("z");
+    Config_.Mesh_->Regions_ = {{"z", "r"}, {"far", "q"}, {"farther", "q"}};
+    Config_.Mesh_->EvacuateTime_ = EvacuateTime;
     Fleet_ = std::make_unique<node::FleetState>(Config_, Log_);
     Watch_ = std::make_unique<StoreWatch>(Io_, Config_, *Fleet_, Log_);
     REQUIRE(Store_.start().ok());
--- a/tests/unit/team_shares_bound_test.cpp
+++ b/tests/unit/team_shares_bound_test.cpp
@@ -119,6 +119,32 @@
   CHECK(Node.decide(Now + milliseconds(1200), Team) == TeamShares::Decision::Held);
 }
 
+// Guards against requests that are refused for lack of room and use up the rate of their team
+// without running, and against returned tokens that are used beyond the time of their batch.
+TEST_CASE("team_shares_returned_token_admits_one_more_until_it_expires") {
+  const TeamId Team("hotels");
+  TimePoint Now(seconds(100));
+  TeamShares Node(HostId("10.0.0.1"), TimePoint(), 1);
+  Node.setHosts({HostId("10.0.0.1")});
+  Node.setLimits(Now, {{Team, {0.5, 2.0}}});
+  Node.tick(Now);
+  Now += seconds(60);
+  TeamShares::Token Taken;
+  REQUIRE(Node.admit(Now, Team, &Taken) == TeamShares::Decision::Held);
+  const auto Request = Node.nextRequest(Now, Team);
+  REQUIRE(Request);
+  Node.granted(Now, Node.serve(Now, *Request));
+  REQUIRE(Node.decide(Now, Team, &Taken) == TeamShares::Decision::Admitted);
+  REQUIRE(Node.admit(Now, Team) != TeamShares::Decision::Admitted);
+  Node.returned(Now, Team, Taken);
+  TeamShares::Token Again;
+  REQUIRE(Node.admit(Now + milliseconds(500), Team, &Again) == TeamShares::Decision::Admitted);
+  CHECK(Again.Expires_ == Taken.Expires_);
+  CHECK(Node.admit(Now + milliseconds(500), Team) != TeamShares::Decision::Admitted);
+  Node.returned(Now + milliseconds(1100), Team, Again);
+  CHECK(Node.admit(Now + milliseconds(1100), Team) != TeamShares::Decision::Admitted);
+}
+
 // Guards against a team without any limit where the broker does not know it yet.
 TEST_CASE("team_shares_unknown_to_broker_are_limited_by_the_requester") {
   const TeamId Team("hotels");
