--- a/include/bronzestand/fleet_config.h
+++ b/include/bronzestand/fleet_config.h
@@ -63,7 +63,8 @@
 
 /// One version of the configuration of the whole fleet.
 struct FleetConfig {
-  std::uint64_t Version_ = 0; ///< increases with each change
+  std::uint64_t Version_ = 0;              ///< increases with each change
+  std::string Document_ = "configuration"; ///< name of its source, for errors; not sent to nodes
   std::vector<FleetRoute> Routes_;
   std::vector<FleetTeam> Teams_;
   std::unordered_map<ServiceId, ServiceSettings> Services_;
--- a/src/engine/fleet_config.cpp
+++ b/src/engine/fleet_config.cpp
@@ -25,12 +25,13 @@
 }
 
 absl::Status checkRegions(const AllowedRegions &Allowed, const std::set<RegionId> &Known,
-                          std::string_view Table, const std::string &Name) {
+                          const std::string &Document, std::string_view Table,
+                          const std::string &Name) {
   if (!Allowed)
     return absl::OkStatus();
   for (const RegionId &Region : *Allowed)
     if (Known.count(Region) == 0)
-      return makeError({ErrorCode::UnknownReference, "op/config",
+      return makeError({ErrorCode::UnknownReference, Document,
                         fmt::format("{}.{}.AllowedRegions", Table, Name),
                         fmt::format("no data centre is in the region '{}'", Region.str())});
   return absl::OkStatus();
@@ -41,10 +42,13 @@
 absl::Status checkRegions(const FleetConfig &Config, const std::set<RegionId> &Known) {
   absl::Status Result;
   for (const FleetRoute &Route : Config.Routes_)
-    if (Result = checkRegions(Route.AllowedRegions_, Known, "Routes", Route.Name_); !Result.ok())
+    if (Result =
+            checkRegions(Route.AllowedRegions_, Known, Config.Document_, "Routes", Route.Name_);
+        !Result.ok())
       return Result;
   for (const FleetTeam &Team : Config.Teams_)
-    if (Result = checkRegions(Team.AllowedRegions_, Known, "Tenants", Team.Spec_.Name_.str());
+    if (Result = checkRegions(Team.AllowedRegions_, Known, Config.Document_, "Tenants",
+                              Team.Spec_.Name_.str());
         !Result.ok())
       return Result;
   return Result;
--- a/tests/unit/mesh_regions_test.cpp
+++ b/tests/unit/mesh_regions_test.cpp
@@ -331,6 +331,7 @@
   node::FleetState Fleet(Settings, Log);
   FleetConfig Config;
   Config.Version_ = 3;
+  Config.Document_ = "op/config";
   Config.Teams_.emplace_back();
   Config.Teams_.back().Spec_.Name_ = TeamId("t");
   Config.Teams_.back().AllowedRegions_ = {RegionId("r")};
