Test that a stopping first reader hands over and no follower misses a change

The nodes that read move to a fixture of their own, with the time to apply a change and the service and state of entries as parameters, so that further tests with whole nodes can use it. The existing tests check the same as before.

--- a/tests/unit/mesh_fixture.h
+++ b/tests/unit/mesh_fixture.h
@@ -36,6 +36,8 @@
   ServiceId Service_{"s"};                                  ///< the same
   std::size_t MemoryBytes_ = node::Settings().MemoryBytes_; ///< the same
   std::optional<std::uint16_t> MetricsPort_;                ///< the same
+  Duration ApplyTime_ = node::MeshSettings().ApplyTime_;    ///< the same
+  Duration EvacuateTime_ = EvacuateTime;                    ///< the same
   const std::uint16_t StorePort_ = freePort();
   const std::uint16_t CallerPort_ = freePort();
   const std::uint16_t PeerPort_ = freePort();
@@ -74,7 +76,8 @@
     Config.Mesh_->GracePeriod_ = GracePeriod_;
     if (Cold_)
       std::tie(Config.Mesh_->ColdOver_, Config.Mesh_->ColdSlack_) = *Cold_;
-    Config.Mesh_->EvacuateTime_ = EvacuateTime;
+    Config.Mesh_->ApplyTime_ = ApplyTime_;
+    Config.Mesh_->EvacuateTime_ = EvacuateTime_;
     Config.MemoryBytes_ = MemoryBytes_;
     if (MetricsPort_)
       Config.Mesh_->MetricsListen_ = node::Endpoint{Host, *MetricsPort_};
@@ -100,10 +103,11 @@
     Nodes_.pop_back();
   }
 
-  void putServer(standin::PlatformStore &Store, const std::string &Id, const std::string &Host) {
+  void putServer(standin::PlatformStore &Store, const std::string &Id, const std::string &Host,
+                 const std::string &Service = "s", const std::string &State = "ready") {
     Store.put("servers/" + Id, json{{"Address", Host + ":" + std::to_string(BackendPort_)},
-                                    {"Info", {{"Service", "s"}, {"Zone", "z"}, {"Slots", 4}}},
-                                    {"Status", {{"State", "ready"}, {"ColdRemainingMs", 0}}},
+                                    {"Info", {{"Service", Service}, {"Zone", "z"}, {"Slots", 4}}},
+                                    {"Status", {{"State", State}, {"ColdRemainingMs", 0}}},
                                     {"born", 5}}
                                    .dump());
   }
@@ -136,8 +140,8 @@
     return Holds();
   }
   /// Sends a request to a node and returns the status; 0 if there is no answer.
-  unsigned statusOf(const std::string &Host, const std::string &Path) {
-    return send({Host, CallerPort_}, Path);
+  unsigned statusOf(const std::string &Host, const std::string &Path, const std::string &Key = "") {
+    return send({Host, CallerPort_}, Path, nullptr, Key);
   }
   /// Returns the state that a node shows to operators.
   json stateOf(const std::string &Host) {
@@ -151,12 +155,15 @@
   }
 
 private:
-  unsigned send(const node::Endpoint &To, const std::string &Path, std::string *Body = nullptr) {
+  unsigned send(const node::Endpoint &To, const std::string &Path, std::string *Body = nullptr,
+                const std::string &Key = "") {
     node::HttpClient Client(Io_, To, 1);
     node::HttpRequest Request;
     Request.Method_ = "GET";
     Request.Target_ = Path;
     Request.Headers_ = {{"Host", "a.example"}, {"Request-Id", "q1"}, {"Deadline-Ms", "1000"}};
+    if (!Key.empty())
+      Request.Headers_.push_back({"Authorization", "Bearer " + Key});
     bool Ended = false;
     unsigned Status = 0;
     Client.send(std::move(Request), std::chrono::seconds(3),
--- /dev/null
+++ b/tests/unit/mesh_readers_faults_test.cpp
@@ -0,0 +1,34 @@
+#include "mesh_readers_fixture.h"
+
+using namespace bronzestand;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Times of the reference deployment, and of the requirements where they are fixed.
+struct MeshReadersFaultsFixture : MeshReadersFixture {
+  static constexpr milliseconds ApplyLimit{3000};
+  static constexpr std::size_t Count = 9;
+
+  MeshReadersFaultsFixture() { ApplyTime_ = ApplyLimit; }
+};
+
+} // namespace
+
+// Guards against changes that wait for a reader that stops, and against a reader that leaves
+// without a word, so that the others notice only when they no longer hear it.
+TEST_CASE_METHOD(MeshReadersFaultsFixture, "mesh_readers_first_one_stops_others_miss_no_change") {
+  startFleet(Count);
+  REQUIRE(allFrom(2, SettleTime, follows));
+  Nodes_[0]->shutdown();
+  CHECK(runUntil([&] { return Store_.waitingWatches() == 1; }, SettleTime));
+  const json Stopping = stateOf(Hosts_[0]);
+  REQUIRE(Stopping.is_object());
+  CHECK(Stopping.at("draining") == true);
+  CHECK(stateOf(Hosts_[2]).at("fleet_state").at("store_reader").at("duty") == "second");
+  // The node ends in this time.
+  CHECK(slowestChange(1, 4s) <= ApplyLimit);
+  CHECK(stateOf(Hosts_[0]).is_discarded());
+  CHECK(runUntil([&] { return readers() == 2; }, SettleTime));
+  CHECK(allFrom(3, SettleTime, follows));
+}
