--- a/tests/unit/mesh_readers_faults_test.cpp
+++ b/tests/unit/mesh_readers_faults_test.cpp
@@ -32,3 +32,24 @@
   CHECK(runUntil([&] { return readers() == 2; }, SettleTime));
   CHECK(allFrom(3, SettleTime, follows));
 }
+
+// Guards against changes that wait for readers whose store takes requests and answers none, which
+// they notice only by a time limit. The silence begins after a response, the worst moment.
+TEST_CASE_METHOD(MeshReadersFaultsFixture,
+                 "mesh_readers_store_silent_to_readers_changes_arrive_in_time") {
+  startFleet(Count);
+  REQUIRE(allFrom(2, SettleTime, follows));
+  const int Watches = Replica_.watches();
+  REQUIRE(runUntil([&] { return Replica_.watches() > Watches; }, SettleTime));
+  Replica_.setSilent(true);
+  Replica_.silenceWatches();
+  const milliseconds Slowest = slowestChange(2, 6s);
+  INFO(Slowest.count() << " ms");
+  CHECK(Slowest <= ApplyLimit);
+  CHECK(runUntil([&] { return Store_.waitingWatches() == 2; }, SettleTime));
+  CHECK(allFrom(4, SettleTime, follows));
+  CHECK(allHave(LastVersion_));
+  Replica_.setSilent(false);
+  CHECK(runUntil([&] { return Store_.waitingWatches() == 0 && readers() == 2; }, SettleTime));
+  CHECK(slowestChange(0, 1s) <= ApplyLimit);
+}
