--- a/tests/unit/mesh_fixture.h
+++ b/tests/unit/mesh_fixture.h
@@ -40,7 +40,7 @@
   Duration EvacuateTime_ = EvacuateTime;                    ///< the same
   const std::uint16_t StorePort_ = freePort();
   const std::uint16_t CallerPort_ = freePort();
-  const std::uint16_t PeerPort_ = freePort();
+  std::uint16_t PeerPort_ = freePort(); ///< of the nodes that are started from now on
   const std::uint16_t OperatorPort_ = freePort();
   const std::uint16_t BackendPort_ = freePort();
   standin::PlatformStore Store_{Io_, {"127.0.0.1", StorePort_}};
--- a/tests/unit/mesh_readers_faults_test.cpp
+++ b/tests/unit/mesh_readers_faults_test.cpp
@@ -53,3 +53,28 @@
   CHECK(runUntil([&] { return Store_.waitingWatches() == 0 && readers() == 2; }, SettleTime));
   CHECK(slowestChange(0, 1s) <= ApplyLimit);
 }
+
+// Guards against followers that wait for readers whose links are open and silent, and against the
+// messages that were under way, which arrive at the end of the cut and are old by then.
+TEST_CASE_METHOD(MeshReadersFaultsFixture,
+                 "mesh_readers_cut_off_from_followers_changes_arrive_in_time") {
+  startFleet(Count, true);
+  REQUIRE(allFrom(2, SettleTime, follows));
+  const auto SetCut = [&](bool Cut) {
+    for (const auto &Relay : Relays_)
+      Relay->setCut(Cut);
+  };
+  SetCut(true);
+  const milliseconds Slowest = slowestChange(0, 6s);
+  INFO(Slowest.count() << " ms");
+  CHECK(Slowest <= ApplyLimit);
+  CHECK(runUntil([&] { return Store_.waitingWatches() == 2; }, SettleTime));
+  CHECK(Replica_.waitingWatches() == 2);
+  CHECK(allFrom(4, SettleTime, follows));
+  SetCut(false);
+  const milliseconds SlowestAfter = slowestChange(0, 3s);
+  INFO(SlowestAfter.count() << " ms after the cut");
+  CHECK(SlowestAfter <= ApplyLimit);
+  CHECK(runUntil([&] { return Store_.waitingWatches() == 0 && readers() == 2; }, SettleTime));
+  CHECK(allFrom(2, SettleTime, follows));
+}
--- a/tests/unit/mesh_readers_fixture.h
+++ b/tests/unit/mesh_readers_fixture.h
@@ -5,6 +5,7 @@
 
 #include "bronzestand/store_readers.h"
 #include "mesh_fixture.h"
+#include "standins/link_relay.h"
 
 namespace bronzestand {
 
@@ -18,6 +19,7 @@
   const std::uint16_t ReplicaPort_ = freePort();
   standin::PlatformStore Replica_{Io_, {"127.0.0.1", ReplicaPort_}};
   std::vector<std::unique_ptr<boost::asio::io_context>> Loops_;
+  std::vector<std::unique_ptr<standin::LinkRelay>> Relays_;
   std::vector<std::string> Hosts_; ///< in rank
   std::uint64_t LastVersion_ = 3;  ///< of the configuration in the store
 
@@ -31,7 +33,8 @@
   MeshReadersFixture(const MeshReadersFixture &) = delete;
   MeshReadersFixture &operator=(const MeshReadersFixture &) = delete;
 
-  void startFleet(std::size_t Count) {
+  /// \param Relayed all links between the first two nodes in rank and the others pass relays.
+  void startFleet(std::size_t Count, bool Relayed = false) {
     std::vector<HostId> Hosts;
     for (std::size_t Index = 0; Index < Count; ++Index)
       Hosts.emplace_back("127.0.0." + std::to_string(Index + 2));
@@ -40,10 +43,19 @@
       for (const HostId &Host : Hosts)
         putServer(*Store, "i-" + Host.str(), Host.str());
     }
+    const std::uint16_t FollowerPort = PeerPort_;
+    const std::uint16_t ReaderPort = Relayed ? freePort() : FollowerPort;
     for (const HostId &Host : StoreReaders::rank(Hosts)) {
+      // A node connects to others at the port at which it listens itself.
+      const bool Reader = Hosts_.size() < 2;
+      PeerPort_ = Reader ? ReaderPort : FollowerPort;
+      if (Relayed)
+        Relays_.push_back(std::make_unique<standin::LinkRelay>(
+            Io_, node::Endpoint{Host.str(), Reader ? FollowerPort : ReaderPort},
+            node::Endpoint{Host.str(), PeerPort_}));
       Loops_.push_back(std::make_unique<boost::asio::io_context>());
       OtherLoops_.push_back(Loops_.back().get());
-      startNode(Host.str(), Hosts_.size() < 2 ? ReplicaPort_ : StorePort_, Loops_.back().get());
+      startNode(Host.str(), Reader ? ReplicaPort_ : StorePort_, Loops_.back().get());
       Hosts_.push_back(Host.str());
     }
     REQUIRE(runUntil([&] { return readers() == 2; }, SettleTime));
