--- a/tests/unit/mesh_readers_fixture.h
+++ b/tests/unit/mesh_readers_fixture.h
@@ -20,8 +20,9 @@
   standin::PlatformStore Replica_{Io_, {"127.0.0.1", ReplicaPort_}};
   std::vector<std::unique_ptr<boost::asio::io_context>> Loops_;
   std::vector<std::unique_ptr<standin::LinkRelay>> Relays_;
-  std::vector<std::string> Hosts_; ///< in rank
-  std::uint64_t LastVersion_ = 3;  ///< of the configuration in the store
+  std::vector<std::string> Hosts_;  ///< in rank
+  std::uint64_t LastVersion_ = 3;   ///< of the configuration in the store
+  std::string ListedService_ = "s"; ///< of the servers that are listed and not running
 
   MeshReadersFixture() { REQUIRE(Replica_.start().ok()); }
   ~MeshReadersFixture() {
@@ -41,7 +42,7 @@
     for (standin::PlatformStore *Store : {&Store_, &Replica_}) {
       putConfig(*Store, LastVersion_, {"/x/"});
       for (const HostId &Host : Hosts)
-        putServer(*Store, "i-" + Host.str(), Host.str());
+        putServer(*Store, "i-" + Host.str(), Host.str(), ListedService_);
     }
     const std::uint16_t FollowerPort = PeerPort_;
     const std::uint16_t ReaderPort = Relayed ? freePort() : FollowerPort;
