--- a/tests/unit/mesh_fixture.h
+++ b/tests/unit/mesh_fixture.h
@@ -36,9 +36,11 @@
   ServiceId Service_{"s"};                                  ///< the same
   std::size_t MemoryBytes_ = node::Settings().MemoryBytes_; ///< the same
   std::optional<std::uint16_t> MetricsPort_;                ///< the same
+  Duration ApplyTime_ = node::MeshSettings().ApplyTime_;    ///< the same
+  Duration EvacuateTime_ = EvacuateTime;                    ///< the same
   const std::uint16_t StorePort_ = freePort();
   const std::uint16_t CallerPort_ = freePort();
-  const std::uint16_t PeerPort_ = freePort();
+  std::uint16_t PeerPort_ = freePort(); ///< of the nodes that are started from now on
   const std::uint16_t OperatorPort_ = freePort();
   const std::uint16_t BackendPort_ = freePort();
   standin::PlatformStore Store_{Io_, {"127.0.0.1", StorePort_}};
@@ -54,10 +56,10 @@
   /// Event loops of nodes that can be stopped for a while; runUntil() runs those listed here.
   std::vector<boost::asio::io_context *> OtherLoops_;
 
-  /// Starts a node that reads from the store, or from another address in its place.
-  /// \param Loop its event loop; nullptr for that of the fixture.
-  void startNode(const std::string &Host, std::optional<std::uint16_t> StorePort = std::nullopt,
-                 boost::asio::io_context *Loop = nullptr) {
+  /// Returns the settings of a node that reads from the store, or from another address in its
+  /// place.
+  node::Settings settingsOf(const std::string &Host,
+                            std::optional<std::uint16_t> StorePort = std::nullopt) const {
     node::Settings Config;
     Config.Host_ = HostId(Host);
     const auto Found = DataCentres_.find(Host);
@@ -74,12 +76,19 @@
     Config.Mesh_->GracePeriod_ = GracePeriod_;
     if (Cold_)
       std::tie(Config.Mesh_->ColdOver_, Config.Mesh_->ColdSlack_) = *Cold_;
-    Config.Mesh_->EvacuateTime_ = EvacuateTime;
+    Config.Mesh_->ApplyTime_ = ApplyTime_;
+    Config.Mesh_->EvacuateTime_ = EvacuateTime_;
     Config.MemoryBytes_ = MemoryBytes_;
     if (MetricsPort_)
       Config.Mesh_->MetricsListen_ = node::Endpoint{Host, *MetricsPort_};
+    return Config;
+  }
+  /// Starts a node with settingsOf().
+  /// \param Loop its event loop; nullptr for that of the fixture.
+  void startNode(const std::string &Host, std::optional<std::uint16_t> StorePort = std::nullopt,
+                 boost::asio::io_context *Loop = nullptr) {
     Nodes_.push_back(std::make_unique<node::MeshNode>(
-        Loop == nullptr ? Io_ : *Loop, Config, platform::headerNames(),
+        Loop == nullptr ? Io_ : *Loop, settingsOf(Host, StorePort), platform::headerNames(),
         [](boost::asio::io_context &Io, const node::Settings &Values, node::FleetState &Fleet,
            node::EventLog &Events) {
           return std::make_unique<platform::StoreWatch>(Io, Values, Fleet, Events);
@@ -100,10 +109,11 @@
     Nodes_.pop_back();
   }
 
-  void putServer(standin::PlatformStore &Store, const std::string &Id, const std::string &Host) {
+  void putServer(standin::PlatformStore &Store, const std::string &Id, const std::string &Host,
+                 const std::string &Service = "s", const std::string &State = "ready") {
     Store.put("servers/" + Id, json{{"Address", Host + ":" + std::to_string(BackendPort_)},
-                                    {"Info", {{"Service", "s"}, {"Zone", "z"}, {"Slots", 4}}},
-                                    {"Status", {{"State", "ready"}, {"ColdRemainingMs", 0}}},
+                                    {"Info", {{"Service", Service}, {"Zone", "z"}, {"Slots", 4}}},
+                                    {"Status", {{"State", State}, {"ColdRemainingMs", 0}}},
                                     {"born", 5}}
                                    .dump());
   }
@@ -136,8 +146,8 @@
     return Holds();
   }
   /// Sends a request to a node and returns the status; 0 if there is no answer.
-  unsigned statusOf(const std::string &Host, const std::string &Path) {
-    return send({Host, CallerPort_}, Path);
+  unsigned statusOf(const std::string &Host, const std::string &Path, const std::string &Key = "") {
+    return send({Host, CallerPort_}, Path, nullptr, Key);
   }
   /// Returns the state that a node shows to operators.
   json stateOf(const std::string &Host) {
@@ -151,12 +161,15 @@
   }
 
 private:
-  unsigned send(const node::Endpoint &To, const std::string &Path, std::string *Body = nullptr) {
+  unsigned send(const node::Endpoint &To, const std::string &Path, std::string *Body = nullptr,
+                const std::string &Key = "") {
     node::HttpClient Client(Io_, To, 1);
     node::HttpRequest Request;
     Request.Method_ = "GET";
     Request.Target_ = Path;
     Request.Headers_ = {{"Host", "a.example"}, {"Request-Id", "q1"}, {"Deadline-Ms", "1000"}};
+    if (!Key.empty())
+      Request.Headers_.push_back({"Authorization", "Bearer " + Key});
     bool Ended = false;
     unsigned Status = 0;
     Client.send(std::move(Request), std::chrono::seconds(3),
