Show frames that arrive and refused or closed links in /metrics

The memory of frames from other nodes was in /state only, and several reasons for which a link ends were not counted. LinkMeasure names them; both pages count each.

--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -327,7 +327,7 @@
       Gate_.print(now(), Text);
       Entry_.print(now(), Text);
       Memory_->print(Text);
-      Links_.bytes().print(Text);
+      Links_.print(Text);
       printShares(Text);
       Exchange->respond(page(200, "text/plain; version=0.0.4", std::move(Text)));
       return;
--- a/src/node/link_limits.cpp
+++ b/src/node/link_limits.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include <fmt/format.h>
 #include <sys/resource.h>
 
 namespace bronzestand::node {
@@ -17,8 +18,29 @@
 /// A link takes about 30 KB, so more would take memory that is not counted.
 constexpr std::size_t MostLinks = 16'384;
 
+constexpr std::array<std::string_view, LinkMeasureCount> MeasureNames{
+    "closed_largest",   "closed_queue",      "closed_unused", "closed_unproved", "closed_oversized",
+    "closed_malformed", "failed_handshakes", "refused_links", "protocol_errors"};
+
 } // namespace
 
+std::string_view linkMeasureName(LinkMeasure Measure) {
+  return MeasureNames[static_cast<std::size_t>(Measure)];
+}
+
+void LinkMeasures::dump(nlohmann::json &Result) const {
+  for (std::size_t Index = 0; Index < LinkMeasureCount; ++Index)
+    Result[std::string(MeasureNames[Index])] = Counts_[Index];
+}
+
+void LinkMeasures::print(std::string &Out) const {
+  Out += "# HELP bronzestand_link_measures_total Links refused or closed by reason\n"
+         "# TYPE bronzestand_link_measures_total counter\n";
+  for (std::size_t Index = 0; Index < LinkMeasureCount; ++Index)
+    Out += fmt::format("bronzestand_link_measures_total{{measure=\"{}\"}} {}\n",
+                       MeasureNames[Index], Counts_[Index]);
+}
+
 std::size_t maxLinksOf(std::size_t Descriptors) {
   if (Descriptors <= UsualDescriptors)
     return std::min(UsualLinks, Descriptors / FewDescriptorsDivisor);
--- a/src/node/link_sockets.cpp
+++ b/src/node/link_sockets.cpp
@@ -22,6 +22,13 @@
   return Item.get_message(opcode::binary, 0)->arriving();
 }
 
+template <typename Connection> SocketEnd endOf(const Connection &Item) {
+  if (Item.get_local_close_code() == status::message_too_big)
+    return SocketEnd::Oversized;
+  return Item.get_remote_close_code() == status::going_away ? SocketEnd::Unneeded
+                                                            : SocketEnd::Usual;
+}
+
 } // namespace
 
 class LinkSockets::Impl {
@@ -71,7 +78,7 @@
     const auto OnClosed = [&Side, Call = Callbacks.OnClosed_](const ConnectionHandle &Handle) {
       Failure Ended;
       const auto Connection = Side.get_con_from_hdl(Handle, Ended);
-      Call(Handle, Connection && Connection->get_remote_close_code() == status::going_away);
+      Call(Handle, Connection ? endOf(*Connection) : SocketEnd::Usual);
     };
     Side.set_close_handler(OnClosed);
     Side.set_fail_handler(OnClosed);
--- a/src/node/link_sockets.h
+++ b/src/node/link_sockets.h
@@ -2,6 +2,7 @@
 #define BRONZESTAND_NODE_LINK_SOCKETS_H
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -15,6 +16,13 @@
 
 namespace bronzestand::node {
 
+/// How a connection ended.
+enum class SocketEnd : std::uint8_t {
+  Usual,     ///< closed or lost
+  Unneeded,  ///< the other end closed it by release()
+  Oversized, ///< the other end sent a frame over the limit
+};
+
 /// WebSocket connections of the links, in both directions.
 ///
 /// Errors: a failed listener by listen(), others by false or by the end of the connection.
@@ -26,8 +34,7 @@
     /// A connection is open, before its first frame.
     std::function<void(const ConnectionHandle &Handle, bool Outgoing)> OnOpen_;
     /// A connection has ended, or could not be opened.
-    /// \param Unneeded the other end closed it by release().
-    std::function<void(const ConnectionHandle &Handle, bool Unneeded)> OnClosed_;
+    std::function<void(const ConnectionHandle &Handle, SocketEnd Reason)> OnClosed_;
     std::function<void(const ConnectionHandle &Handle, const std::string &Frame)> OnFrame_;
   };
 
--- a/src/node/peer_links.cpp
+++ b/src/node/peer_links.cpp
@@ -6,6 +6,7 @@
 #include <unordered_map>
 
 #include <boost/asio/post.hpp>
+#include <fmt/format.h>
 
 #include "bronzestand/error.h"
 #include "node/clock.h"
@@ -81,9 +82,9 @@
                      if (const auto Alive = Self.lock())
                        Alive->onOpen(Handle, Outgoing);
                    },
-                   [Self](const ConnectionHandle &Handle, bool Unneeded) {
+                   [Self](const ConnectionHandle &Handle, SocketEnd Reason) {
                      if (const auto Alive = Self.lock())
-                       Alive->onClosed(Handle, Unneeded);
+                       Alive->onClosed(Handle, Reason);
                    },
                    [Self](const ConnectionHandle &Handle, const std::string &Frame) {
                      if (const auto Alive = Self.lock())
@@ -171,8 +172,10 @@
     std::vector<std::pair<LinkId, const char *>> Closing;
     for (auto &[Id, Item] : Links_) {
       if (!Item.Open_) {
-        if (Now - Item.Created_ > HandshakeLimit)
+        if (Now - Item.Created_ > HandshakeLimit) {
+          Measures_.count(LinkMeasure::FailedHandshake);
           Closing.emplace_back(Id, "handshake timed out");
+        }
       } else if (Now - Item.LastUsed_ > IdleLimit) {
         Closing.emplace_back(Id, "link is idle");
       }
@@ -191,12 +194,8 @@
                 {"max_arriving_bytes", Arriving_->maxBytes()},
                 {"max_links", MaxLinks_},
                 {"unproved_connections", Unproved_.size()},
-                {"closed_largest", ClosedLargest_},
-                {"closed_unused", ClosedUnused_},
-                {"closed_unproved", ClosedUnproved_},
-                {"refused_links", RefusedLinks_},
-                {"protocol_errors", ProtocolErrors_},
                 {"links", json::array()}};
+    Measures_.dump(Result);
     for (const auto &[Id, Item] : Links_)
       Result["links"].push_back(
           {{"id", Id},
@@ -209,6 +208,28 @@
     return Result;
   }
 
+  void print(std::string &Out) {
+    std::size_t Open = 0;
+    for (const auto &Entry : Links_)
+      Open += Entry.second.Open_ ? 1 : 0;
+    Out += fmt::format(
+        "# HELP bronzestand_link_memory_bytes Memory of frames of other nodes by share\n"
+        "# TYPE bronzestand_link_memory_bytes gauge\n"
+        "bronzestand_link_memory_bytes{{share=\"arriving\"}} {}\n"
+        "# HELP bronzestand_link_memory_max_bytes Bound on the frames that arrive\n"
+        "# TYPE bronzestand_link_memory_max_bytes gauge\n"
+        "bronzestand_link_memory_max_bytes {}\n"
+        "# HELP bronzestand_links Connections with other nodes by state\n"
+        "# TYPE bronzestand_links gauge\n"
+        "bronzestand_links{{state=\"open\"}} {}\n"
+        "bronzestand_links{{state=\"unproved\"}} {}\n"
+        "# HELP bronzestand_links_max Bound on connections with other nodes\n"
+        "# TYPE bronzestand_links_max gauge\n"
+        "bronzestand_links_max {}\n",
+        Arriving_->bytes(), Arriving_->maxBytes(), Open, Unproved_.size(), MaxLinks_);
+    Measures_.print(Out);
+  }
+
   std::array<MessageHandler, MessageKindCount> Handlers_;
   Resolver Resolver_;
   SentCounter SentCounter_;
@@ -230,6 +251,7 @@
           });
       Log_->warn("closing link to {}: {} bytes are queued", Longest->second.Peer_.Host_.str(),
                  Sockets_.queuedBytes(Longest->second));
+      Measures_.count(LinkMeasure::ClosedQueue);
       closeLink(Longest->first, "queue is too long");
     }
   }
@@ -258,7 +280,7 @@
       return;
     Log_->warn("closing link to {}: frames of {} bytes arrive on all links",
                Largest->second.Peer_.Host_.str(), Arriving_->bytes());
-    ++ClosedLargest_;
+    Measures_.count(LinkMeasure::ClosedLargest);
     closeLink(Largest->first, "its frame is the largest");
   }
 
@@ -268,11 +290,11 @@
       return true;
     const Link *Found = Links_.leastUsed();
     if (Found == nullptr || now() - Found->LastUsed_ < MinUnused) {
-      ++RefusedLinks_;
+      Measures_.count(LinkMeasure::RefusedLink);
       Log_->warn("refusing a link: all {} are in use", MaxLinks_);
       return false;
     }
-    ++ClosedUnused_;
+    Measures_.count(LinkMeasure::ClosedUnused);
     const Link Unused = *Found;
     removeLink(Unused.Id_, true);
     Sockets_.release(Unused);
@@ -281,7 +303,7 @@
 
   void onAccepted(const ConnectionHandle &Handle) {
     if (Unproved_.size() >= std::max<std::size_t>(MaxLinks_ / UnprovedDivisor, 1)) {
-      ++ClosedUnproved_;
+      Measures_.count(LinkMeasure::ClosedUnproved);
       closeAccepted(Unproved_.takeFirst());
     }
     if (makeWay())
@@ -321,10 +343,16 @@
     write(Item, MessageKind::Challenge, LinkHandshake::challenge(Item));
   }
 
-  void onClosed(const ConnectionHandle &Handle, bool Unneeded) {
+  void onClosed(const ConnectionHandle &Handle, SocketEnd Reason) {
     Unproved_.remove(Handle);
-    if (const Link *Item = Links_.findByHandle(Handle))
-      removeLink(Item->Id_, Unneeded);
+    const Link *Item = Links_.findByHandle(Handle);
+    if (Reason == SocketEnd::Oversized) {
+      Measures_.count(LinkMeasure::ClosedOversized);
+      Log_->warn("closed link to {}: its frame is too large",
+                 Item == nullptr ? "" : Item->Peer_.Host_.str());
+    }
+    if (Item != nullptr)
+      removeLink(Item->Id_, Reason == SocketEnd::Unneeded);
   }
 
   void onFrame(const ConnectionHandle &Handle, const std::string &Frame) {
@@ -353,6 +381,8 @@
     if (!FrameDecoder::isShort(Frame)) {
       if (auto Message = decode(Frame))
         return DecodedFrame{*std::move(Message)};
+      Measures_.count(LinkMeasure::ClosedMalformed);
+      Log_->warn("closing link to {}: malformed frame", Item.Peer_.Host_.str());
       closeLink(Item.Id_, "malformed frame");
       return std::nullopt;
     }
@@ -371,7 +401,7 @@
 
   /// Closes a link whose peer violates the protocol. Calls are queried as after any loss.
   void endByError(const Link &Item, std::string_view Reason) {
-    ++ProtocolErrors_;
+    Measures_.count(LinkMeasure::ProtocolError);
     Log_->warn("closing link: {}", describe({ErrorCode::ProtocolViolation, Item.Peer_.Host_.str(),
                                              "frame", std::string(Reason)}));
     closeLink(Item.Id_, "protocol violation");
@@ -384,6 +414,7 @@
     if (Next.Outcome_ == LinkHandshake::Outcome::Complete) {
       completeHandshake(Item, Message);
     } else if (Next.Outcome_ == LinkHandshake::Outcome::Failed) {
+      Measures_.count(LinkMeasure::FailedHandshake);
       Log_->warn("handshake with {} failed", Message.Sender_.str());
       closeLink(Item.Id_, "handshake failed");
     }
@@ -545,12 +576,8 @@
   LinkTable Links_;
   UnprovedConnections Unproved_;
   std::size_t MaxLinks_;
-  std::uint64_t ClosedLargest_ = 0;  ///< links closed because of arriving frames
-  std::uint64_t ClosedUnused_ = 0;   ///< links closed for a new one
-  std::uint64_t ClosedUnproved_ = 0; ///< connections closed for a new one
-  std::uint64_t RefusedLinks_ = 0;
+  LinkMeasures Measures_;
   std::unordered_map<HostId, std::deque<WaitingMessage>> Waiting_;
-  std::uint64_t ProtocolErrors_ = 0;
 };
 
 PeerLinks::PeerLinks(boost::asio::io_context &Io, const Settings &Config, Incarnation Run)
@@ -591,5 +618,9 @@
 void PeerLinks::stop() { Impl_->stop(); }
 void PeerLinks::tick(TimePoint Now) { Impl_->tick(Now); }
 json PeerLinks::dump() const { return Impl_->dump(); }
+void PeerLinks::print(std::string &Out) const {
+  Impl_->Counters_.bytes().print(Out);
+  Impl_->print(Out);
+}
 
 } // namespace bronzestand::node
--- a/src/node/peer_links.h
+++ b/src/node/peer_links.h
@@ -106,6 +106,9 @@
   void stop() override;
   void tick(TimePoint Now) override;
   nlohmann::json dump() const override;
+  /// Appends Prometheus text: bytes and frames, memory of frames that arrive, links that were
+  /// refused or closed.
+  void print(std::string &Out) const;
 
 private:
   class Impl;
--- a/tests/unit/link_limits_test.cpp
+++ b/tests/unit/link_limits_test.cpp
@@ -67,6 +67,12 @@
     return Holds();
   }
   std::size_t valueOf(const char *Name) const { return Links_->dump().at(Name).get<std::size_t>(); }
+  /// Tells whether the metrics have a line.
+  bool hasMetric(const std::string &Line) const {
+    std::string Text;
+    Links_->print(Text);
+    return Text.find("\n" + Line + "\n") != std::string::npos;
+  }
   std::size_t openLinks() const {
     std::size_t Count = 0;
     const json State = Links_->dump();
@@ -216,6 +222,43 @@
   CHECK(runUntil([&] { return Others[0]->Input_.find("\x03\xE9") != std::string::npos; }));
 }
 
+// Guards against frames whose memory, and links whose end, the metrics do not show.
+TEST_CASE_METHOD(LinkLimitsFixture, "link_limits_metrics_show_memory_and_reasons") {
+  CHECK(hasMetric("bronzestand_link_memory_bytes{share=\"arriving\"} 0"));
+  CHECK(hasMetric("bronzestand_link_memory_max_bytes " + std::to_string(8 * MiB)));
+  CHECK(hasMetric("bronzestand_links_max " + std::to_string(LinksWithFewDescriptors)));
+  const auto Measured = [this](const char *Name, int Count) {
+    return hasMetric(std::string("bronzestand_link_measures_total{measure=\"") + Name + "\"} " +
+                     std::to_string(Count));
+  };
+  const OtherPtr Oversized = connect();
+  Oversized->upgrade();
+  Oversized->sendFrame(MiB, "x");
+  CHECK(runUntil([&] { return Measured("closed_oversized", 1); }));
+  const OtherPtr Malformed = connect();
+  Malformed->prove(1);
+  CHECK(hasMetric("bronzestand_links{state=\"open\"} 1"));
+  Malformed->sendFrame(2, "\xFF\xFF");
+  CHECK(runUntil([&] { return Measured("closed_malformed", 1); }));
+  const OtherPtr Wrong = connect();
+  Wrong->upgrade();
+  const std::string Proof =
+      encode({MessageKind::Proof, 1, {{"nonce", "n"}, {"mac", "no"}}, HostId("127.0.1.2"), 9});
+  Wrong->sendFrame(Proof.size(), Proof);
+  CHECK(runUntil([&] { return Measured("failed_handshakes", 1); }));
+  const OtherPtr Large = connect();
+  Large->prove(3);
+  Large->sendFrame(7 * MiB, std::string(4 * MiB, 'x'));
+  CHECK(runUntil([&] { return valueOf("arriving_bytes") >= 4 * MiB; }));
+  CHECK_FALSE(hasMetric("bronzestand_link_memory_bytes{share=\"arriving\"} 0"));
+  const OtherPtr Next = connect();
+  Next->prove(4);
+  Next->sendFrame(7 * MiB, std::string(6 * MiB, 'x'));
+  CHECK(runUntil([&] { return Measured("closed_largest", 1); }));
+  for (const char *Name : {"closed_queue", "closed_unused", "refused_links", "protocol_errors"})
+    CHECK(Measured(Name, 0));
+}
+
 // Guards against bounds that leave the other users of descriptors too few.
 TEST_CASE("link_limits_follow_descriptors") {
   CHECK(maxLinksOf(64) == 16);
