--- a/tests/unit/mesh_node_test.cpp
+++ b/tests/unit/mesh_node_test.cpp
@@ -1,4 +1,5 @@
 #include "mesh_fixture.h"
+#include "node/peer_links.h"
 
 using namespace bronzestand;
 
@@ -101,3 +102,25 @@
   REQUIRE(runUntil([&] { return versionOf(Third) >= 3; }, ApplyTime));
   CHECK(runUntil([&] { return versionOf(Third) == 5; }, ApplyTime));
 }
+
+// Guards against a request for the state that ends the process, because a name in it is not valid
+// UTF-8: JSON can't have such texts. Settings and links do not check names.
+TEST_CASE_METHOD(MeshFixture, "mesh_node_state_with_names_that_are_not_utf8_is_served") {
+  Service_ = ServiceId("s\xFF");
+  putConfig(Store_, 3, {"/x/"});
+  startNode(First);
+  REQUIRE(runUntil([&] { return statusOf(First, "/y/") == 404; }));
+  node::Settings Other;
+  Other.Host_ = HostId("h\xC3(");
+  Other.PeerListen_ = {Second, PeerPort_};
+  node::PeerLinks Links(Io_, Other, 1);
+  REQUIRE(Links.start().ok());
+  Links.connect({First, PeerPort_});
+  CHECK(runUntil([&] { return Links.isLinked(HostId(First)); }));
+  const json State = stateOf(First);
+  REQUIRE_FALSE(State.is_discarded());
+  CHECK(State.at("service") == "s\uFFFD");
+  REQUIRE(State.at("peer_links").at("links").size() == 1);
+  CHECK(State.at("peer_links").at("links")[0].at("host") == "h\uFFFD(");
+  Links.stop();
+}
