Serve /state when a name in it is not valid UTF-8

The JSON library throws for such a text, nothing caught it, and the node ended. Service and host names of the settings and of other nodes are not checked for it. Both kinds of nodes now replace such bytes by U+FFFD, as log lines do. mesh_node_state_with_names_that_are_not_utf8_is_served failed with type_error.316 before, and passes.

--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -314,7 +314,9 @@
     if (Path == "/healthz")
       Exchange->respond(page(Fleet_.isReady() && !Draining_ ? 200 : 503, "text/plain", ""));
     else if (Path == "/state")
-      Exchange->respond(page(200, "application/json", dump().dump(2)));
+      // Names in settings and of other nodes may be no valid UTF-8.
+      Exchange->respond(page(200, "application/json",
+                             dump().dump(2, ' ', false, nlohmann::json::error_handler_t::replace)));
     else
       handleMetrics(Request, Exchange);
   }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -191,7 +191,9 @@
 
   void handleOperator(const HttpRequest &Request, const HttpExchangePtr &Exchange) {
     if (Request.Target_ == "/state")
-      Exchange->respond(textResponse(200, JsonType, dump().dump(2)));
+      // Names in settings and of other nodes may be no valid UTF-8.
+      Exchange->respond(textResponse(
+          200, JsonType, dump().dump(2, ' ', false, nlohmann::json::error_handler_t::replace)));
     else if (Request.Target_ == "/metrics")
       Exchange->respond(textResponse(200, "text/plain; version=0.0.4", Metrics_.prometheusText()));
     else if (boost::starts_with(Request.Target_, RequestsPath))
