--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -314,7 +314,9 @@
     if (Path == "/healthz")
       Exchange->respond(page(Fleet_.isReady() && !Draining_ ? 200 : 503, "text/plain", ""));
     else if (Path == "/state")
-      Exchange->respond(page(200, "application/json", dump().dump(2)));
+      // Names in settings and of other nodes may be no valid UTF-8.
+      Exchange->respond(page(200, "application/json",
+                             dump().dump(2, ' ', false, nlohmann::json::error_handler_t::replace)));
     else
       handleMetrics(Request, Exchange);
   }
@@ -327,7 +329,7 @@
       Gate_.print(now(), Text);
       Entry_.print(now(), Text);
       Memory_->print(Text);
-      Links_.bytes().print(Text);
+      Links_.print(Text);
       printShares(Text);
       Exchange->respond(page(200, "text/plain; version=0.0.4", std::move(Text)));
       return;
