Test health requests to a cold server that resets connections, and the bucket after a gap

Both fail: each lost connection of a server known to be cold caused a health request beside the bucket, and a bucket that was full before the configuration dropped the rate was full after it.

--- a/tests/unit/cold_limit_test.cpp
+++ b/tests/unit/cold_limit_test.cpp
@@ -315,3 +315,45 @@
   }
   CHECK(Run.isBounded());
 }
+
+// Guards against health requests that exceed the bound at a cold server that resets connections:
+// each loss is a reason to ask, and each answer allows the next request.
+TEST_CASE("cold_limit_cold_server_that_resets_connections_keeps_the_bound") {
+  ColdSimulation Run;
+  Run.LossShare_ = GENERATE(0.3, 1.0);
+  Run.Over_ = GENERATE(1.0, 1.5);
+  INFO(Run.LossShare_ << " " << Run.Over_);
+  Run.ColdUntil_ = Start + 60s;
+  Run.configure();
+  // After each pause the bucket is full.
+  for (int Round = 0; Round < 10; ++Round) {
+    Run.Demand_ = 0.0;
+    Run.run(1s);
+    Run.Demand_ = Run.Rate_ * 3.0;
+    Run.run(3s);
+  }
+  CHECK(Run.isBounded());
+  CHECK(Run.Sent_ >= static_cast<int>(0.9 * 30 * Run.Rate_));
+  // The end of the named time is noticed nevertheless.
+  Run.ColdUntil_ = Run.Now_;
+  Run.LossShare_ = 0.0;
+  Run.run(21s);
+  CHECK(Run.Limit_.state(Run.Now_) == Temperature::Warm);
+}
+
+// Guards against a bucket that is full when the bound comes into force again, while the requests
+// of the time without a bound still count.
+TEST_CASE("cold_limit_bucket_is_empty_when_the_configuration_names_a_rate_again") {
+  ColdSimulation Run;
+  Run.Demand_ = 2.0;
+  Run.ColdUntil_ = Start + 20s;
+  Run.configure();
+  Run.run(3s);
+  Run.Limit_.configured(Run.Now_, 0.0, Run.Over_, Run.Slack_);
+  Run.Demand_ = 20.0;
+  Run.run(2s);
+  Run.Demand_ = 1150.0;
+  Run.configure();
+  Run.run(2s);
+  CHECK(Run.isBounded());
+}
