Bound health requests to a cold server, and start without tokens after a gap

A server that is known to be cold is asked again at the end of the time that it named, not after each lost connection. The bucket is empty when a rate comes into force again.

--- a/src/engine/cold_limit.cpp
+++ b/src/engine/cold_limit.cpp
@@ -55,8 +55,10 @@
     Rate_ = 0.0;
     return;
   }
-  if (Rate_ <= 0.0)
-    unknown(Now); // nothing was counted before
+  if (Rate_ <= 0.0) {
+    unknown(Now);
+    Tokens_ = 0.0; // nothing was counted before
+  }
   constexpr double Span = 1.0 + JitterSeconds;
   const double Most = std::max(1.0, std::floor(Rate * Over + Slack));
   // Fewer than Most + 1 requests fit into the span.
@@ -197,6 +199,10 @@
   if (Value == Temperature::Off || Value == Temperature::Cold || HealthRuns_ ||
       Now < NextHealthAt_ || (HealthCounts_ && tokens(Now) < 1.0))
     return false;
+  // A restart makes the server no warmer, so a lost connection is no reason to ask. One request for
+  // each loss would exceed the bound at a server that resets connections.
+  if (Proof_ == Proof::Cold && Now < ColdUntil_)
+    return false;
   if (Value == Temperature::Warm)
     return tokens(Now) < 1.0 && Now - ProvedAt_ >= BusyInterval;
   return !isOnlyQuiet() || !hasRoom(Now);
