Examine a call again when its connection to the server is there

The connection may take seconds. By then the data centre may be closed or the region no longer allowed, and at a cold server the calls of the whole wait would arrive at once.

--- a/include/bronzestand/cold_limit.h
+++ b/include/bronzestand/cold_limit.h
@@ -72,6 +72,11 @@
   std::optional<double> rate(TimePoint Now) const override;
   Duration timeUntil(TimePoint Now, std::size_t Requests) const override;
   void sent(TimePoint Now) override;
+  /// Returns whether a request may be written now. One that is written long after sent() needs room
+  /// of its own, and takes it: a server that accepts connections late would get the requests of the
+  /// whole wait at once.
+  /// \param SentAt when sent() was called for it. \param Doubts value of doubts() then.
+  bool mayWrite(TimePoint Now, TimePoint SentAt, std::uint64_t Doubts);
 
 private:
   enum class Proof { None, Cold, Warm };
--- a/src/engine/cold_limit.cpp
+++ b/src/engine/cold_limit.cpp
@@ -236,4 +236,17 @@
   FilledAt_ = Now;
 }
 
+bool ColdLimit::mayWrite(TimePoint Now, TimePoint SentAt, std::uint64_t Doubts) {
+  if (!isLimiting(Now))
+    return true;
+  if (Doubts != Doubts_)
+    return !rate(Now);
+  if (secondsOf(Now - SentAt) <= JitterSeconds)
+    return true;
+  if (timeUntil(Now, 1) > Duration::zero())
+    return false;
+  sent(Now);
+  return true;
+}
+
 } // namespace bronzestand
--- a/src/mesh/backend_gate.cpp
+++ b/src/mesh/backend_gate.cpp
@@ -299,18 +299,22 @@
   scheduleExpiry();
 }
 
-std::optional<Refusal> BackendGate::findLateRefusal(const PendingCall &Current) const {
-  if (!isRegionAllowed(Current.Call_))
+std::optional<Refusal> BackendGate::findPlacementRefusal(const Call &Request) const {
+  if (!isRegionAllowed(Request))
     return Refusal::RegionNotAllowed;
-  if (Current.Deadline_ - now() < MinTimeLeft)
-    return Refusal::DeadlineTooShort;
   if (isClosed())
     return Refusal::Evacuated;
+  return isServerGone() || isReplaced(Request) ? std::optional(Refusal::NoBackendServer)
+                                               : std::nullopt;
+}
+
+std::optional<Refusal> BackendGate::findLateRefusal(const PendingCall &Current) const {
+  if (const auto Reason = findPlacementRefusal(Current.Call_))
+    return Reason;
+  if (Current.Deadline_ - now() < MinTimeLeft)
+    return Refusal::DeadlineTooShort;
   // A call that has waited for the crash guard has no token of its own.
-  if (Temperature_.mustWait(now()))
-    return Refusal::Overloaded;
-  return isServerGone() || isReplaced(Current.Call_) ? std::optional(Refusal::NoBackendServer)
-                                                     : std::nullopt;
+  return Temperature_.mustWait(now()) ? std::optional(Refusal::Overloaded) : std::nullopt;
 }
 
 void BackendGate::send(const CallKey &Key) {
@@ -372,12 +376,26 @@
       [this, Key](HttpResult Result, HttpResponse Response) {
         onResult(Key, Result, std::move(Response));
       },
-      Temperature_.writeCheck([this, Key] { noteWithheld(Key); }), std::move(Options));
+      [this, Key, HasRoom = Temperature_.writeCheck([this, Key] {
+        noteWithheld(Key, Refusal::Overloaded);
+      })] { return mayWrite(Key) && (!HasRoom || HasRoom()); },
+      std::move(Options));
+}
+
+// A call that is written at once, before its request has a number, was examined just before.
+bool BackendGate::mayWrite(const CallKey &Key) {
+  const auto Found = Calls_.find(Key);
+  if (Found == Calls_.end() || Found->second.Request_ == 0)
+    return true;
+  const auto Reason = findPlacementRefusal(Found->second.Call_);
+  if (Reason)
+    noteWithheld(Key, *Reason);
+  return !Reason;
 }
 
-void BackendGate::noteWithheld(const CallKey &Key) {
+void BackendGate::noteWithheld(const CallKey &Key, Refusal Reason) {
   if (const auto Found = Calls_.find(Key); Found != Calls_.end())
-    Found->second.Withheld_ = true;
+    Found->second.Withheld_ = Reason;
 }
 
 bool BackendGate::isNamed(const Call &Request, const HttpResponse &Response) const {
@@ -521,7 +539,7 @@
   if (Result == HttpResult::Answered && Response.Status_ < 500)
     noteServiceTime(Request, now() - Found->second.SentAt_);
   if (Found->second.Withheld_) {
-    refuse(Key, Refusal::Overloaded);
+    refuse(Key, *Found->second.Withheld_);
     return;
   }
   Temperature_.requestEnded(Found->second.SentAt_, Result, Response);
--- a/src/mesh/backend_gate.h
+++ b/src/mesh/backend_gate.h
@@ -80,9 +80,9 @@
     Duration Work_{};        ///< expected time at the server
     CallId QueueNumber_ = 0; ///< id in the queue
     HttpClient::RequestNumber Request_ = 0;
-    bool AtServer_ = false;      ///< sent and not yet answered
-    bool ServerLeaving_ = false; ///< the server's answer says that it is leaving
-    bool Withheld_ = false;      ///< not written, because the server may have become cold
+    bool AtServer_ = false;           ///< sent and not yet answered
+    bool ServerLeaving_ = false;      ///< the server's answer says that it is leaving
+    std::optional<Refusal> Withheld_; ///< why it was not written on its connection
   };
 
   unsigned limit() const;
@@ -113,11 +113,16 @@
   ShedController &shed();
   std::optional<Refusal> findRefusal(const Call &Request) const;
   void dispatch();
+  /// Returns why a call must not reach the server whatever its load is; nothing if it may.
+  std::optional<Refusal> findPlacementRefusal(const Call &Request) const;
   /// Returns why a call that leaves the queue is not sent, if it is not.
   std::optional<Refusal> findLateRefusal(const PendingCall &Current) const;
   void send(const CallKey &Key);
   void transmit(const CallKey &Key);
-  void noteWithheld(const CallKey &Key);
+  /// Returns whether a call may still be written when its connection to the server is there, which
+  /// may take long: the data centre or the region may be closed by then.
+  bool mayWrite(const CallKey &Key);
+  void noteWithheld(const CallKey &Key, Refusal Reason);
   void onResult(const CallKey &Key, HttpResult Result, HttpResponse Response);
   /// Counts the end of a call at the server as evidence of how well the server works.
   void noteEnd(const Call &Request, HttpResult Result, const HttpResponse &Response);
--- a/src/mesh/server_temperature.cpp
+++ b/src/mesh/server_temperature.cpp
@@ -81,11 +81,12 @@
   check();
 }
 
-HttpClient::MayWrite ServerTemperature::writeCheck(std::function<void()> OnWithheld) const {
-  if (Limit_.state(now()) == Temperature::Off)
+HttpClient::MayWrite ServerTemperature::writeCheck(std::function<void()> OnWithheld) {
+  const TimePoint SentAt = now();
+  if (Limit_.state(SentAt) == Temperature::Off)
     return {};
-  return [this, Doubts = Limit_.doubts(), OnWithheld = std::move(OnWithheld)] {
-    if (Doubts == Limit_.doubts() || !isLimiting(now()))
+  return [this, SentAt, Doubts = Limit_.doubts(), OnWithheld = std::move(OnWithheld)] {
+    if (Limit_.mayWrite(now(), SentAt, Doubts))
       return true;
     OnWithheld();
     return false;
--- a/src/mesh/server_temperature.h
+++ b/src/mesh/server_temperature.h
@@ -49,8 +49,10 @@
   /// Records that a call was refused or withheld for lack of room at a server that may be cold.
   void noteRefused() { ++Refused_; }
   /// Returns a check that ends a request unsent if the server may have become cold while its
-  /// connection was being opened. \param OnWithheld called then.
-  HttpClient::MayWrite writeCheck(std::function<void()> OnWithheld) const;
+  /// connection was being opened, or if this took so long that the bound has no room for it any
+  /// more. To be called when the request takes its place in the limit.
+  /// \param OnWithheld called when the check ends the request.
+  HttpClient::MayWrite writeCheck(std::function<void()> OnWithheld);
 
   void tick(TimePoint Now);
   /// Appends metrics as Prometheus text.
