--- a/include/bronzestand/backend_directory.h
+++ b/include/bronzestand/backend_directory.h
@@ -68,6 +68,8 @@
   const std::vector<const BackendServer *> &findByService(const ServiceId &Service) const;
   /// Returns the hosts of all listed servers.
   std::set<HostId> hosts() const;
+  /// Returns their number. Cost: constant, unless entries have changed.
+  std::size_t hostCount() const { return index().ByHost_.size(); }
   /// Returns all listed servers by id.
   const std::map<std::string, BackendServer> &all() const { return Entries_; }
 
--- a/src/mesh/entry.cpp
+++ b/src/mesh/entry.cpp
@@ -120,7 +120,7 @@
 
 void Entry::serversChanged() {
   Choice_.update(now(), Env_.Fleet_.servers());
-  Budget_.setNodes(Env_.Fleet_.servers().hosts().size());
+  Budget_.setNodes(Env_.Fleet_.servers().hostCount());
 }
 
 void Entry::hostDown(const HostId &Host) {
--- a/src/mesh/fleet_state.cpp
+++ b/src/mesh/fleet_state.cpp
@@ -5,6 +5,7 @@
 
 #include <fmt/format.h>
 
+#include "absl/cleanup/cleanup.h"
 #include "node/clock.h"
 
 namespace bronzestand::node {
@@ -116,6 +117,12 @@
       Change.From_.Era_ != Complete.Era_ || Change.To_.Era_ != Complete.Era_)
     return;
   setPosition(Change.To_);
+  applyTogether([&] { applyItems(Change); });
+  if (OnFollowed_)
+    OnFollowed_(Change.To_, Change.Trusted_);
+}
+
+void FleetState::applyItems(const FleetChange &Change) {
   if (Change.Config_)
     if (const absl::Status Applied = apply(*Change.Config_); !Applied.ok())
       Events_.write(now(), EventClass::Belief, "fleet_state", "config_refused",
@@ -127,8 +134,16 @@
   for (const std::string &Id : Change.Removed_)
     if (Directory_.find(Id) != nullptr)
       remove(Id, Change.Trusted_);
-  if (OnFollowed_)
-    OnFollowed_(Change.To_, Change.Trusted_);
+}
+
+void FleetState::applyTogether(const std::function<void()> &Changes) {
+  {
+    const auto End = absl::MakeCleanup([this] { Applying_ = false; });
+    Applying_ = true;
+    Changes();
+  }
+  if (std::exchange(ServersChanged_, false))
+    serversChanged();
 }
 
 void FleetState::noteFollowed(TimePoint RespondedAt, StorePosition Checked, bool Trusted) {
@@ -291,6 +306,10 @@
 }
 
 void FleetState::serversChanged() {
+  if (Applying_) {
+    ServersChanged_ = true;
+    return;
+  }
   const DataCentreId Own = ownDataCentre();
   std::set<HostId> Hosts;
   for (const auto &[Id, Server] : Directory_.all())
--- a/src/mesh/fleet_state.h
+++ b/src/mesh/fleet_state.h
@@ -54,6 +54,9 @@
   /// Replaces the set of evacuated data centres. At the start of the process it comes before
   /// replace(), so that a data centre found evacuated is left out at once.
   void replaceEvacuations(const std::set<DataCentreId> &Names);
+  /// Runs a function that applies several changes, and reports changes of servers once at its end.
+  /// The cost of a report grows with the fleet.
+  void applyTogether(const std::function<void()> &Changes);
   /// Records the position of a change that this node has applied; earlier ones are ignored.
   void setPosition(StorePosition Value) { Known_ = std::max(Known_, Value); }
   StorePosition position() const { return Known_; }
@@ -152,6 +155,8 @@
   nlohmann::json dump() const override;
 
 private:
+  void applyItems(const FleetChange &Change);
+  /// Reports that servers have changed, now or at the end of applyTogether().
   void serversChanged();
   /// Returns the data centre of the server beside this node.
   DataCentreId ownDataCentre() const;
@@ -181,6 +186,8 @@
   Evacuations Evacuations_;
   bool Closed_ = false; ///< the handlers were told that this node refuses calls
   bool Listed_ = false;
+  bool Applying_ = false;       ///< applyTogether() runs
+  bool ServersChanged_ = false; ///< since it began
   StorePosition Known_;
   StorePosition Checked_;
   StorePosition ListedAt_; ///< of the last listing
