Retry no request whose key was withdrawn

The key is examined again before each further attempt, and when a link opens, if the configuration has changed since the request was admitted.

--- a/src/mesh/entry.cpp
+++ b/src/mesh/entry.cpp
@@ -265,7 +265,8 @@
     }
     Waiting->Route_ = *Found;
   }
-  run(std::move(Waiting->Request_), std::move(Waiting->Outgoing_), Waiting->Route_, Exchange);
+  run(std::move(Waiting->Request_), std::move(Waiting->Key_), std::move(Waiting->Outgoing_),
+      Waiting->Route_, Exchange);
 }
 
 std::optional<Entry::RefusalDetails>
@@ -280,7 +281,7 @@
   return std::nullopt;
 }
 
-void Entry::run(HttpRequest Request, Call Outgoing, const FleetRoute &Route,
+void Entry::run(HttpRequest Request, std::string Key, Call Outgoing, const FleetRoute &Route,
                 const HttpExchangePtr &Exchange) {
   // The time of a request counts from the arrival of its body.
   if (const auto Details = setTimeLeft(Request, Route, Outgoing)) {
@@ -326,7 +327,7 @@
                     Outgoing.RepeatedShare_);
   Rooms_.first(now(), Outgoing.Service_, Outgoing.Class_);
   const EntryCallPtr Active(
-      new EntryCall(*this, std::move(Outgoing), Exchange, Route.MaxRuns_, Place));
+      new EntryCall(*this, std::move(Outgoing), std::move(Key), Exchange, Route.MaxRuns_, Place));
   Active->start();
 }
 
--- a/src/mesh/entry.h
+++ b/src/mesh/entry.h
@@ -107,7 +107,8 @@
   /// Returns the value of the deadline header; none if it is missing or invalid.
   std::optional<Duration> requestedTimeout(const HttpRequest &Request) const;
   /// Starts a request that is within the rate limit of its team or has no team.
-  void run(HttpRequest Request, Call Outgoing, const FleetRoute &Route,
+  /// \param Key of the caller; empty if the route needs none.
+  void run(HttpRequest Request, std::string Key, Call Outgoing, const FleetRoute &Route,
            const HttpExchangePtr &Exchange);
   void prepareHeaders(HttpRequest &Request, const Call &Outgoing) const;
   /// Returns whether a request that starts now with this time left may be broken off by the end of
--- a/src/mesh/entry_call.cpp
+++ b/src/mesh/entry_call.cpp
@@ -101,9 +101,10 @@
 
 } // namespace
 
-EntryCall::EntryCall(Entry &Owner, Call Outgoing, HttpExchangePtr Exchange, std::uint32_t MaxRuns,
-                     const ReturnOrder::Place &Place)
-    : Owner_(Owner), Call_(std::move(Outgoing)), Exchange_(std::move(Exchange)),
+EntryCall::EntryCall(Entry &Owner, Call Outgoing, std::string Key, HttpExchangePtr Exchange,
+                     std::uint32_t MaxRuns, const ReturnOrder::Place &Place)
+    : Owner_(Owner), Call_(std::move(Outgoing)), Key_(std::move(Key)),
+      ConfigVersion_(Owner.Env_.Fleet_.version()), Exchange_(std::move(Exchange)),
       MaxRuns_(std::max(1U, MaxRuns)), Place_(Place), Timer_(Owner.Env_.Io_),
       QueryTimer_(Owner.Env_.Io_), Started_(now()), Deadline_(Started_ + Call_.TimeLeft_),
       Objective_(Call_.Objective_) {}
@@ -223,15 +224,24 @@
                                                   : std::nullopt;
 }
 
+bool EntryCall::isAuthorized() const {
+  const FleetState &Fleet = Owner_.Env_.Fleet_;
+  if (Call_.Team_.empty() || Fleet.version() == ConfigVersion_ || Fleet.config().Teams_.empty())
+    return true;
+  const auto Found = Fleet.keys().authenticate(Key_);
+  return Found && Found->Team_ == Call_.Team_;
+}
+
 void EntryCall::sendRemote() {
   // A call that was already reported as not run must not be sent when a link opens later, and none
-  // to a region that the configuration no longer allows or to an evacuated data centre.
+  // to a region that the configuration no longer allows, to an evacuated data centre, or with a key
+  // that was withdrawn.
   Owner_.Env_.Links_.send(
       Host_, MessageKind::Call, Call_,
       [Self = Ptr(this), Attempt = Attempt_](LinkId Link) { Self->onSent(Attempt, Link); },
       [Self = Ptr(this), Attempt = Attempt_] {
         return !Self->Done_ && !Self->CallerGone_ && Attempt == Self->Attempt_ &&
-               !Self->placementRefusal();
+               !Self->placementRefusal() && Self->isAuthorized();
       },
       Attempt_ > 1 ? Sending::Repeat : Sending::First);
 }
@@ -301,7 +311,7 @@
       Rejected && Health.isLimited(now(), Call_.Class_) ? MaxAttemptsDegraded : MaxAttempts;
   if (Result.Outcome_ != Outcome::NotRun && Health.needsLimited(now(), Call_.Class_))
     return false;
-  if (CallerGone_ || Attempts >= Most || timeLeft() < MinAttemptTime ||
+  if (CallerGone_ || !isAuthorized() || Attempts >= Most || timeLeft() < MinAttemptTime ||
       Owner_.mayOutlastDrain(timeLeft()))
     return false;
   const bool Served = Result.Outcome_ == Outcome::Served;
--- a/src/mesh/entry_call.h
+++ b/src/mesh/entry_call.h
@@ -17,8 +17,9 @@
 public:
   /// \param MaxRuns number of backend servers that the request may reach, at least 1.
   /// \param Place of the request among those that are admitted.
-  EntryCall(Entry &Owner, Call Outgoing, HttpExchangePtr Exchange, std::uint32_t MaxRuns,
-            const ReturnOrder::Place &Place);
+  /// \param Key by which the caller was identified, if the call has a team.
+  EntryCall(Entry &Owner, Call Outgoing, std::string Key, HttpExchangePtr Exchange,
+            std::uint32_t MaxRuns, const ReturnOrder::Place &Place);
 
   void start();
   void onAnswer(const Answer &Result);
@@ -41,6 +42,9 @@
   Refusal reasonWithoutServer() const;
   /// Returns why the server of the current attempt may no longer be used, if it may not.
   std::optional<Refusal> placementRefusal() const;
+  /// Returns whether the configuration in force still has the key of the request. Cost: one hash if
+  /// the configuration has changed since the request was admitted.
+  bool isAuthorized() const;
   void sendRemote();
   void onSent(std::uint32_t Attempt, LinkId Link);
   void query();
@@ -61,6 +65,8 @@
 
   Entry &Owner_;
   Call Call_;
+  std::string Key_;
+  std::uint64_t ConfigVersion_; ///< by which the request was admitted
   HttpExchangePtr Exchange_;
   std::uint32_t MaxRuns_;
   ReturnOrder::Place Place_;
