--- a/tests/unit/cold_limit_test.cpp
+++ b/tests/unit/cold_limit_test.cpp
@@ -357,3 +357,14 @@
   Run.run(2s);
   CHECK(Run.isBounded());
 }
+
+// Guards against a rate so small that the time for one request exceeds what a time can hold, which
+// lifts the bound.
+TEST_CASE("cold_limit_tiny_rate_keeps_the_bound") {
+  ColdLimit Limit(Start);
+  Limit.configured(Start, GENERATE(1e-300, 1e-14, 1e-6), 1.5, 0.0);
+  CHECK(Limit.timeUntil(Start, 1) > 1min);
+  CHECK(Limit.timeUntil(Start, 1000000) > 1min);
+  Limit.sent(Start);
+  CHECK(Limit.timeUntil(Start + 1h, 1) > Duration::zero());
+}
