--- a/src/engine/cold_limit.cpp
+++ b/src/engine/cold_limit.cpp
@@ -33,6 +33,9 @@
 constexpr Duration RetryAfterFailure = milliseconds(400);
 /// Least time between signs, so that a server that is merely slow costs few health requests.
 constexpr Duration SignInterval = std::chrono::seconds(5);
+/// Longer times until a request may be sent are not told apart; that for a tiny rate would not fit
+/// into a Duration.
+constexpr double MaxWaitMicroseconds = 3.6e9;
 /// Interval of health requests at a warm server that gets more requests than a cold one may get.
 constexpr Duration BusyInterval = std::chrono::seconds(1);
 
@@ -224,7 +227,9 @@
   if (Missing <= 0.0)
     return Duration::zero();
   // Rounded up, so that the tokens are there when the time is over.
-  return Duration(static_cast<Duration::rep>(std::ceil(Missing / Rate_ * 1e6)) + 1);
+  return Duration(
+      static_cast<Duration::rep>(std::min(std::ceil(Missing / Rate_ * 1e6), MaxWaitMicroseconds)) +
+      1);
 }
 
 // Also counts while the server is warm, so that the bucket of a busy server is empty when the
--- a/src/mesh/backend_gate.cpp
+++ b/src/mesh/backend_gate.cpp
@@ -37,6 +37,7 @@
 /// Part of its latency objective for which a call may wait because of a limit that the server
 /// names, but at least until the limit allows one more call.
 constexpr double MaxRateWaitShare = 0.15;
+constexpr double MaxIntervalS = 3600.0;
 /// A server counts as making calls if it makes at least OwnCallShare calls per request that it
 /// served, because a few requests of other callers on open routes look like its calls. Until it has
 /// served MinServed requests, it is assumed to make calls.
@@ -166,7 +167,8 @@
   if (!Rate)
     return true;
   const Duration Wait = Limits_.timeUntil(now(), callsUntil(Request));
-  const std::chrono::duration<double> Interval(1.0 / *Rate);
+  // A tiny rate has an interval that does not fit into a Duration.
+  const std::chrono::duration<double> Interval(std::min(1.0 / *Rate, MaxIntervalS));
   const auto Most =
       std::max(std::chrono::duration_cast<Duration>(Request.Objective_ * MaxRateWaitShare),
                std::chrono::duration_cast<Duration>(Interval));
--- a/src/mesh/entry.cpp
+++ b/src/mesh/entry.cpp
@@ -17,6 +17,8 @@
 
 /// Applies to requests without a deadline whose route has no timeout.
 constexpr Duration DefaultTimeout = std::chrono::seconds(30);
+/// A longer time is treated as this one; that of a caller may exceed what a Duration can hold.
+constexpr std::chrono::milliseconds MaxTimeout = std::chrono::hours(24);
 /// A node without a configuration usually receives one within this time.
 constexpr Duration NotReadyRetryAfter = std::chrono::milliseconds(500);
 /// A node that may lack changes usually receives them within this time.
@@ -137,7 +139,7 @@
   const auto Parsed = std::from_chars(Text->data(), End, Count);
   if (Parsed.ec != std::errc() || Parsed.ptr != End || Count < 0)
     return std::nullopt;
-  return std::chrono::milliseconds(Count);
+  return std::chrono::milliseconds(std::min(Count, MaxTimeout.count()));
 }
 
 // Calls made by backend servers have no team. Those whose root is not known get the rank of the
