--- a/src/engine/cold_limit.cpp
+++ b/src/engine/cold_limit.cpp
@@ -33,6 +33,9 @@
 constexpr Duration RetryAfterFailure = milliseconds(400);
 /// Least time between signs, so that a server that is merely slow costs few health requests.
 constexpr Duration SignInterval = std::chrono::seconds(5);
+/// Longer times until a request may be sent are not told apart; that for a tiny rate would not fit
+/// into a Duration.
+constexpr double MaxWaitMicroseconds = 3.6e9;
 /// Interval of health requests at a warm server that gets more requests than a cold one may get.
 constexpr Duration BusyInterval = std::chrono::seconds(1);
 
@@ -55,8 +58,10 @@
     Rate_ = 0.0;
     return;
   }
-  if (Rate_ <= 0.0)
-    unknown(Now); // nothing was counted before
+  if (Rate_ <= 0.0) {
+    unknown(Now);
+    Tokens_ = 0.0; // nothing was counted before
+  }
   constexpr double Span = 1.0 + JitterSeconds;
   const double Most = std::max(1.0, std::floor(Rate * Over + Slack));
   // Fewer than Most + 1 requests fit into the span.
@@ -197,6 +202,10 @@
   if (Value == Temperature::Off || Value == Temperature::Cold || HealthRuns_ ||
       Now < NextHealthAt_ || (HealthCounts_ && tokens(Now) < 1.0))
     return false;
+  // A restart makes the server no warmer, so a lost connection is no reason to ask. One request for
+  // each loss would exceed the bound at a server that resets connections.
+  if (Proof_ == Proof::Cold && Now < ColdUntil_)
+    return false;
   if (Value == Temperature::Warm)
     return tokens(Now) < 1.0 && Now - ProvedAt_ >= BusyInterval;
   return !isOnlyQuiet() || !hasRoom(Now);
@@ -218,7 +227,9 @@
   if (Missing <= 0.0)
     return Duration::zero();
   // Rounded up, so that the tokens are there when the time is over.
-  return Duration(static_cast<Duration::rep>(std::ceil(Missing / Rate_ * 1e6)) + 1);
+  return Duration(
+      static_cast<Duration::rep>(std::min(std::ceil(Missing / Rate_ * 1e6), MaxWaitMicroseconds)) +
+      1);
 }
 
 // Also counts while the server is warm, so that the bucket of a busy server is empty when the
@@ -230,4 +241,17 @@
   FilledAt_ = Now;
 }
 
+bool ColdLimit::mayWrite(TimePoint Now, TimePoint SentAt, std::uint64_t Doubts) {
+  if (!isLimiting(Now))
+    return true;
+  if (Doubts != Doubts_)
+    return !rate(Now);
+  if (secondsOf(Now - SentAt) <= JitterSeconds)
+    return true;
+  if (timeUntil(Now, 1) > Duration::zero())
+    return false;
+  sent(Now);
+  return true;
+}
+
 } // namespace bronzestand
--- a/src/mesh/backend_gate.cpp
+++ b/src/mesh/backend_gate.cpp
@@ -37,6 +37,7 @@
 /// Part of its latency objective for which a call may wait because of a limit that the server
 /// names, but at least until the limit allows one more call.
 constexpr double MaxRateWaitShare = 0.15;
+constexpr double MaxIntervalS = 3600.0;
 /// A server counts as making calls if it makes at least OwnCallShare calls per request that it
 /// served, because a few requests of other callers on open routes look like its calls. Until it has
 /// served MinServed requests, it is assumed to make calls.
@@ -166,7 +167,8 @@
   if (!Rate)
     return true;
   const Duration Wait = Limits_.timeUntil(now(), callsUntil(Request));
-  const std::chrono::duration<double> Interval(1.0 / *Rate);
+  // A tiny rate has an interval that does not fit into a Duration.
+  const std::chrono::duration<double> Interval(std::min(1.0 / *Rate, MaxIntervalS));
   const auto Most =
       std::max(std::chrono::duration_cast<Duration>(Request.Objective_ * MaxRateWaitShare),
                std::chrono::duration_cast<Duration>(Interval));
@@ -299,18 +301,22 @@
   scheduleExpiry();
 }
 
-std::optional<Refusal> BackendGate::findLateRefusal(const PendingCall &Current) const {
-  if (!isRegionAllowed(Current.Call_))
+std::optional<Refusal> BackendGate::findPlacementRefusal(const Call &Request) const {
+  if (!isRegionAllowed(Request))
     return Refusal::RegionNotAllowed;
-  if (Current.Deadline_ - now() < MinTimeLeft)
-    return Refusal::DeadlineTooShort;
   if (isClosed())
     return Refusal::Evacuated;
+  return isServerGone() || isReplaced(Request) ? std::optional(Refusal::NoBackendServer)
+                                               : std::nullopt;
+}
+
+std::optional<Refusal> BackendGate::findLateRefusal(const PendingCall &Current) const {
+  if (const auto Reason = findPlacementRefusal(Current.Call_))
+    return Reason;
+  if (Current.Deadline_ - now() < MinTimeLeft)
+    return Refusal::DeadlineTooShort;
   // A call that has waited for the crash guard has no token of its own.
-  if (Temperature_.mustWait(now()))
-    return Refusal::Overloaded;
-  return isServerGone() || isReplaced(Current.Call_) ? std::optional(Refusal::NoBackendServer)
-                                                     : std::nullopt;
+  return Temperature_.mustWait(now()) ? std::optional(Refusal::Overloaded) : std::nullopt;
 }
 
 void BackendGate::send(const CallKey &Key) {
@@ -372,12 +378,26 @@
       [this, Key](HttpResult Result, HttpResponse Response) {
         onResult(Key, Result, std::move(Response));
       },
-      Temperature_.writeCheck([this, Key] { noteWithheld(Key); }), std::move(Options));
+      [this, Key, HasRoom = Temperature_.writeCheck([this, Key] {
+        noteWithheld(Key, Refusal::Overloaded);
+      })] { return mayWrite(Key) && (!HasRoom || HasRoom()); },
+      std::move(Options));
+}
+
+// A call that is written at once, before its request has a number, was examined just before.
+bool BackendGate::mayWrite(const CallKey &Key) {
+  const auto Found = Calls_.find(Key);
+  if (Found == Calls_.end() || Found->second.Request_ == 0)
+    return true;
+  const auto Reason = findPlacementRefusal(Found->second.Call_);
+  if (Reason)
+    noteWithheld(Key, *Reason);
+  return !Reason;
 }
 
-void BackendGate::noteWithheld(const CallKey &Key) {
+void BackendGate::noteWithheld(const CallKey &Key, Refusal Reason) {
   if (const auto Found = Calls_.find(Key); Found != Calls_.end())
-    Found->second.Withheld_ = true;
+    Found->second.Withheld_ = Reason;
 }
 
 bool BackendGate::isNamed(const Call &Request, const HttpResponse &Response) const {
@@ -521,7 +541,7 @@
   if (Result == HttpResult::Answered && Response.Status_ < 500)
     noteServiceTime(Request, now() - Found->second.SentAt_);
   if (Found->second.Withheld_) {
-    refuse(Key, Refusal::Overloaded);
+    refuse(Key, *Found->second.Withheld_);
     return;
   }
   Temperature_.requestEnded(Found->second.SentAt_, Result, Response);
--- a/src/mesh/entry.cpp
+++ b/src/mesh/entry.cpp
@@ -17,6 +17,8 @@
 
 /// Applies to requests without a deadline whose route has no timeout.
 constexpr Duration DefaultTimeout = std::chrono::seconds(30);
+/// A longer time is treated as this one; that of a caller may exceed what a Duration can hold.
+constexpr std::chrono::milliseconds MaxTimeout = std::chrono::hours(24);
 /// A node without a configuration usually receives one within this time.
 constexpr Duration NotReadyRetryAfter = std::chrono::milliseconds(500);
 /// A node that may lack changes usually receives them within this time.
@@ -120,7 +122,7 @@
 
 void Entry::serversChanged() {
   Choice_.update(now(), Env_.Fleet_.servers());
-  Budget_.setNodes(Env_.Fleet_.servers().hosts().size());
+  Budget_.setNodes(Env_.Fleet_.servers().hostCount());
 }
 
 void Entry::hostDown(const HostId &Host) {
@@ -137,7 +139,7 @@
   const auto Parsed = std::from_chars(Text->data(), End, Count);
   if (Parsed.ec != std::errc() || Parsed.ptr != End || Count < 0)
     return std::nullopt;
-  return std::chrono::milliseconds(Count);
+  return std::chrono::milliseconds(std::min(Count, MaxTimeout.count()));
 }
 
 // Calls made by backend servers have no team. Those whose root is not known get the rank of the
@@ -265,7 +267,8 @@
     }
     Waiting->Route_ = *Found;
   }
-  run(std::move(Waiting->Request_), std::move(Waiting->Outgoing_), Waiting->Route_, Exchange);
+  run(std::move(Waiting->Request_), std::move(Waiting->Key_), std::move(Waiting->Outgoing_),
+      Waiting->Route_, Exchange);
 }
 
 std::optional<Entry::RefusalDetails>
@@ -280,7 +283,7 @@
   return std::nullopt;
 }
 
-void Entry::run(HttpRequest Request, Call Outgoing, const FleetRoute &Route,
+void Entry::run(HttpRequest Request, std::string Key, Call Outgoing, const FleetRoute &Route,
                 const HttpExchangePtr &Exchange) {
   // The time of a request counts from the arrival of its body.
   if (const auto Details = setTimeLeft(Request, Route, Outgoing)) {
@@ -326,7 +329,7 @@
                     Outgoing.RepeatedShare_);
   Rooms_.first(now(), Outgoing.Service_, Outgoing.Class_);
   const EntryCallPtr Active(
-      new EntryCall(*this, std::move(Outgoing), Exchange, Route.MaxRuns_, Place));
+      new EntryCall(*this, std::move(Outgoing), std::move(Key), Exchange, Route.MaxRuns_, Place));
   Active->start();
 }
 
