--- a/tests/unit/mesh_node_test.cpp
+++ b/tests/unit/mesh_node_test.cpp
@@ -123,4 +123,5 @@
   REQUIRE(State.at("peer_links").at("links").size() == 1);
   CHECK(State.at("peer_links").at("links")[0].at("host") == "h\uFFFD(");
   Links.stop();
+  Io_.poll(); // handlers of its sockets refer to it
 }
