Refuse bodies of requests at the port of other nodes

The WebSocket library keeps the body of a request that opens a connection, up to 32 MB for each, before anything is known of the sender, and no account counts it. Its bound is 0 now; such a request gets 413. 40 connections with bodies of 4 MB took 164 MB before; misuse_test passes, with its bound of 32 MiB.

--- a/src/node/frame_buffer.h
+++ b/src/node/frame_buffer.h
@@ -102,6 +102,9 @@
   using con_msg_manager_type = FrameBuffers;
   using endpoint_msg_manager_type =
       websocketpp::message_buffer::alloc::endpoint_msg_manager<FrameBuffers>;
+  /// A request to open a link has no body. The library keeps one in memory, and bounds it by 32 MB
+  /// for each connection otherwise.
+  static constexpr std::size_t max_http_body_size = 0;
   // NOLINTEND(readability-identifier-naming)
 };
 
