Bound the head of a request however it arrives

The parser compares the limit with what is in the buffer only, and takes each field out of the buffer once the first byte of the next line is there. A caller whose pieces end with that byte could send a head without an end, and the memory of its fields was not counted before the end of the head: with a limit of 2,048 bytes a head of 1 MB with 200,001 fields was accepted.

--- a/src/node/http_request_reader.cpp
+++ b/src/node/http_request_reader.cpp
@@ -35,10 +35,19 @@
   Buffer_.max_size(std::max<std::size_t>(Buffer_.size(), HeaderBytes + ReadAheadBytes));
   if (Buffer_.capacity() > KeptBufferBytes)
     Buffer_.shrink_to_fit();
+  HeaderBytes_ = HeaderBytes;
+  HeadUsed_ = 0;
   FieldBytes_ = 0;
   HeadTaken_ = false;
 }
 
+// The parser bounds only what is in the buffer, and it takes whole lines out of it.
+void RequestReader::countHead(std::string_view Part) {
+  HeadUsed_ += Part.size();
+  FieldBytes_ += Part.size() + FieldOverheadBytes * static_cast<std::size_t>(
+                                                        std::count(Part.begin(), Part.end(), '\n'));
+}
+
 asio::mutable_buffer RequestReader::prepare() {
   const std::size_t Piece = HeadTaken_ ? BodyPieceBytes : HeadPieceBytes;
   return Buffer_.prepare(std::min(Piece, Buffer_.max_size() - Buffer_.size()));
@@ -52,7 +61,15 @@
     }
     if (Buffer_.size() == 0)
       return Step::NeedMore;
-    Buffer_.consume(Parser_->put(Buffer_.data(), Failure));
+    const std::size_t Used = Parser_->put(Buffer_.data(), Failure);
+    if (!HeadTaken_)
+      countHead({static_cast<const char *>(Buffer_.data().data()), Used});
+    Buffer_.consume(Used);
+    // The end of the last line shows with the byte behind it.
+    const std::size_t Pending = HeadTaken_ || Parser_->is_header_done() ? 0 : Buffer_.size();
+    if (!HeadTaken_ && HeadUsed_ + Pending > HeaderBytes_ &&
+        (!Failure || Failure == http::error::need_more))
+      Failure = http::error::header_limit;
     if (Failure == http::error::need_more) {
       if (Buffer_.size() < Buffer_.max_size()) {
         Failure = {};
@@ -63,6 +80,7 @@
     if (Failure)
       return Step::Failed;
     if (!HeadTaken_ && Parser_->is_header_done()) {
+      FieldBytes_ = 0;
       for (const auto &Field : Parser_->get())
         FieldBytes_ += FieldOverheadBytes + Field.name_string().size() + Field.value().size();
       return Step::Head;
--- a/src/node/http_request_reader.h
+++ b/src/node/http_request_reader.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -94,11 +95,16 @@
   std::size_t bodyBytes() const { return Parser_->get().body().Text_.capacity(); }
 
 private:
+  /// Counts a part of the head that the parser takes.
+  void countHead(std::string_view Part);
+
   using Parser = boost::beast::http::request_parser<PieceBody>;
 
   boost::beast::flat_buffer Buffer_;
   std::optional<Parser> Parser_;
-  std::size_t FieldBytes_ = 0; ///< memory of the fields while the parser holds them
+  std::uint32_t HeaderBytes_ = 0; ///< bound on the head
+  std::size_t HeadUsed_ = 0;      ///< bytes of the head that the parser has taken
+  std::size_t FieldBytes_ = 0;    ///< memory of the fields while the parser holds them
   bool HeadTaken_ = false;
 };
 
