--- a/src/node/http_client.cpp
+++ b/src/node/http_client.cpp
@@ -360,7 +360,9 @@
   }
   Foreign_ += Foreign ? 1 : 0;
   Interim_ += Interim ? 1 : 0;
-  if (Foreign_ > MaxForeignAnswers || Interim_ > MaxInterimAnswers || !Message.keep_alive())
+  // The parser also knows that an answer without a length has ended the connection. A read after
+  // the end would wait for the time-out.
+  if (Foreign_ > MaxForeignAnswers || Interim_ > MaxInterimAnswers || !Parser_->keep_alive())
     finish(HttpResult::Lost);
   else if (Interim)
     readAfterInterim();
