Give the soak test callers that do not respect the limits

Each node has six of them all the time: they send slowly, pipeline without reading, or stop half-way.

--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -19,7 +19,7 @@
     R"(soak: runs real nodes under random faults and checks the promises of the platform.
 
 Usage:
-  soak [--seed N] [--seeds COUNT] [--nodes N] [--seconds S] [--placement]
+  soak [--seed N] [--seeds COUNT] [--nodes N] [--seconds S] [--placement] [--misuse]
   soak --list FILE
   soak --help
 
@@ -29,8 +29,9 @@
   --nodes N      Nodes of the fleet, at most 250 [default: 8].
   --seconds S    Time with faults of each run [default: 12].
   --placement    With allowed regions, cold servers and evacuations.
-  --list FILE    Runs of a file: a line each of seed, nodes, seconds and perhaps "placement";
-                 # begins a comment.
+  --misuse       With callers that send slowly, pipeline without reading and stop half-way.
+  --list FILE    Runs of a file: a line each of seed, nodes, seconds and perhaps "placement" and
+                 "misuse"; # begins a comment.
   --help         Show this text.
 
 Exit codes: 0 all promises held, 1 some did not, 2 wrong usage, 3 a run could not be made. The logs
@@ -74,9 +75,10 @@
     for (const auto &[Status, Count] : Run.ledger().statuses())
       Answers += fmt::format(" {}:{}", Status, Count);
     std::cout << fmt::format("seed {} nodes {} profile {} requests {} violations {}{} answers{} "
-                             "faults{}{}\n",
+                             "faults{}{}{}\n",
                              Options.Seed_, Options.Nodes_, profileName(Run.plan().Profile_),
                              Run.ledger().requests(), Violations.size(), ByPromise, Answers, Text,
+                             Options.Misuse_ ? fmt::format(" misuses {}", Run.misuses()) : "",
                              Kept ? "" : " logs " + keepLogs(Run, Options.Seed_));
     for (std::size_t Number = 0; Number < std::min(MaxPrinted, Violations.size()); ++Number) {
       const auto &Item = Violations[Number];
@@ -103,7 +105,10 @@
       continue;
     Options.Length_ = std::chrono::seconds(Seconds);
     std::string Word;
-    Options.Placement_ = Fields >> Word && Word == "placement";
+    while (Fields >> Word) {
+      Options.Placement_ = Options.Placement_ || Word == "placement";
+      Options.Misuse_ = Options.Misuse_ || Word == "misuse";
+    }
     Result.push_back(Options);
   }
   return Result;
@@ -120,6 +125,7 @@
     Options.Nodes_ = static_cast<std::size_t>(Arguments["--nodes"].asLong());
     Options.Length_ = std::chrono::seconds(Arguments["--seconds"].asLong());
     Options.Placement_ = Arguments["--placement"].asBool();
+    Options.Misuse_ = Arguments["--misuse"].asBool();
     Result.push_back(Options);
   }
   return Result;
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -245,6 +245,12 @@
     throw std::runtime_error(
         fmt::format("{} of {} nodes were ready in time", Ready, Nodes_.size()));
   checkMetrics();
+  if (Options_.Misuse_) {
+    std::vector<node::Endpoint> Callers;
+    for (std::size_t Number = 0; Number < Nodes_.size(); ++Number)
+      Callers.push_back(Daemons_.callers(Number));
+    Misuse_ = std::make_unique<MisuseCallers>(Io_, Callers, HostName, "/browse/", keyOf(LargeTeam));
+  }
   Sending_ = true;
   for (std::size_t Number = 0; Number < Nodes_.size(); ++Number)
     sendNext(Number);
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -13,6 +13,7 @@
 
 #include "daemons.h"
 #include "ledger.h"
+#include "misuse.h"
 #include "plan.h"
 #include "servers.h"
 #include "standins/platform_store.h"
@@ -25,6 +26,7 @@
   Duration Length_ = std::chrono::seconds(12); ///< of the time with faults
   double RequestsPerNode_ = 15.0;              ///< a second
   bool Placement_ = false; ///< with allowed regions, cold servers and evacuations
+  bool Misuse_ = false;    ///< with callers that do not respect the limits
 };
 
 /// One run: a fleet of real nodes with stand-ins for store, servers and callers, the faults of a
@@ -37,6 +39,8 @@
   void run();
   const Ledger &ledger() const { return Book_; }
   const Plan &plan() const { return Plan_; }
+  /// Connections of callers that do not respect the limits.
+  std::uint64_t misuses() const { return Misuse_ ? Misuse_->opened() : 0; }
   std::string logs() const { return Daemons_.logs(); }
 
 private:
@@ -123,6 +127,7 @@
   standin::PlatformStore Store_;
   std::vector<std::unique_ptr<Server>> Servers_;
   std::vector<Node> Nodes_;
+  std::unique_ptr<MisuseCallers> Misuse_; ///< null if the run has none
   std::multimap<TimePoint, std::function<void()>> Steps_;
   std::set<std::string> Evacuated_; ///< data centres
   std::uint64_t Requests_ = 0;
