--- a/include/bronzestand/call.h
+++ b/include/bronzestand/call.h
@@ -53,6 +53,7 @@
   double Open_ = 1.0;
   double Answers_ = 1.0; ///< of the limiting class that a run needs
   Duration RoomAge_{};   ///< since the measurement of the room
+  bool Full_ = false;    ///< the servers of the limiting class reject what exceeds their capacity
 };
 
 /// The request of a caller to which a call of a backend server belongs, as far as it orders calls
--- a/include/bronzestand/room_meter.h
+++ b/include/bronzestand/room_meter.h
@@ -37,6 +37,7 @@
   struct Room {
     double Share_ = 1.0; ///< of the usual calls that can be completed, if the others are not made
     double Open_ = 1.0;  ///< of the usual calls that can be completed, if all are made
+    bool Full_ = false;  ///< the servers reject what exceeds their capacity, not a share
   };
 
   /// The room is told for this time after a degradation, so that all nodes learn of its end.
@@ -52,6 +53,12 @@
   void arrived(TimePoint Now, const ServiceId &Service, bool Accepted);
   /// Returns whether the servers of a service reject more than a normal part of the arrivals.
   bool isDegraded(const ServiceId &Service) const;
+  /// Returns whether the servers of a service reject what exceeds their capacity, not a share.
+  bool isFull(const ServiceId &Service) const;
+  /// Returns whether the servers of a service reject a part of the arrivals, and retries complete
+  /// calls. They don't if hardly any arrival is accepted, or if full servers are overloaded: each
+  /// retry takes the place of another call then.
+  bool gainsByRetries(TimePoint Now, const ServiceId &Service) const;
   /// Returns the share of the arrivals that is accepted, 0 to 1.
   double accepted(TimePoint Now, const ServiceId &Service) const;
   /// Returns the shares of the usual calls that can be completed; 1 if not degraded.
@@ -59,7 +66,7 @@
   /// \param Known room that all nodes that measure it have told, if any. Nodes with full servers
   ///        follow it, because each sees the effect of what the others tell.
   Room room(TimePoint Now, const ServiceId &Service, double Retries,
-            std::optional<double> Known = std::nullopt);
+            const std::optional<Room> &Known = std::nullopt);
   /// Returns the services whose room is to be told: degraded ones, and those whose degradation has
   /// ended recently.
   std::vector<ServiceId> told(TimePoint Now) const;
@@ -67,6 +74,12 @@
   std::vector<ClassId> classes(TimePoint Now, const ServiceId &Service) const;
 
 private:
+  struct Arrivals {
+    double Accepted_ = 0.0;
+    double Number_ = 0.0;
+    double Seconds_ = 0.0; ///< time in which they arrived
+    double rejected() const { return Number_ > 0.0 ? 1.0 - Accepted_ / Number_ : 0.0; }
+  };
   struct Entry {
     Entry();
     RateMeter Recent_;
@@ -78,21 +91,38 @@
     TimePoint ArrivedAt_{};
     bool Degraded_ = false;
     TimePoint DegradedAt_{}; ///< start of the degradation
-    RateMeter Called_;       ///< first attempts, accepted and rejected arrivals of the last moment
-    RateMeter Served_;
+    RateMeter Served_;       ///< accepted and rejected arrivals of the last moment
     RateMeter Refused_;
-    double MostRejected_ = 0.0; ///< largest share of rejections of a moment in the degradation
-    bool Full_ = false;         ///< the servers reject what exceeds their capacity, not a share
-    double Capacity_ = 1.0;     ///< share of the usual calls that full servers are given
-    TimePoint EndedAt_{};       ///< of the last degradation
-    double Reference_ = 0.0;    ///< usual calls per second, during a degradation
+    Arrivals Since_;    ///< since the last measurement
+    Arrivals Overload_; ///< in times with many rejections, weighted by age
+    double LogArrivals_ =
+        0.0; ///< sum of the logarithms of the arrivals per second, by accepted one
+    TimePoint MeasuredAt_{};
+    TimePoint FullAt_{};         ///< time at which the servers were recognised as full
+    double FirstCapacity_ = 1.0; ///< value of Capacity_ then
+    double Taken_ = 1.0;         ///< share of the usual calls that overloaded servers accept
+    bool Full_ = false;          ///< the servers reject what exceeds their capacity, not a share
+    double Capacity_ = 1.0;      ///< share of the usual calls that full servers are given
+    TimePoint EndedAt_{};        ///< of the last degradation
+    double Reference_ = 0.0;     ///< usual calls per second, during a degradation
     TimePoint ReferenceAt_{};
     double ToldShare_ = 1.0;               ///< mean of the shares that were told lately
     std::map<ClassId, TimePoint> Classes_; ///< time of the last call of each
   };
 
+  /// Returns the share of the arrivals of the last moment that was rejected.
+  static double rejected(TimePoint Now, const Entry &Item);
+  /// Returns the logarithm of the ratio of the likelihoods that servers are full and that they
+  /// reject a share.
+  static double fullEvidence(const Entry &Item);
+  /// Recognises full servers.
+  /// \param Last arrivals since the last measurement.
+  static void updateFull(TimePoint Now, Entry &Item, const Arrivals &Last,
+                         const std::optional<Room> &Known);
   /// Adapts Entry::Capacity_.
-  static void updateCapacity(TimePoint Now, Entry &Item, std::optional<double> Known);
+  /// \param Retries that the budget can provide.
+  static void updateCapacity(TimePoint Now, Entry &Item, double Retries,
+                             const std::optional<Room> &Known);
 
   std::map<ServiceId, Entry> Entries_;
 };
--- a/src/engine/retry_budget.cpp
+++ b/src/engine/retry_budget.cpp
@@ -25,6 +25,7 @@
 /// Slots of a window of 10 s, the window that the platform measures. First attempts are counted
 /// over at most 10 s, including the slot that is being filled, and retries over at least 10 s.
 constexpr std::size_t WindowSlots = 40;
+constexpr std::chrono::duration<double> Window = WindowSlots * detail::RecentCount::SlotTime;
 constexpr std::size_t HalfWindow = WindowSlots / 2;
 
 } // namespace
@@ -145,6 +146,12 @@
   Item.Lent_ = Lent && Item.Leaf_;
 }
 
+void RetryBudget::spread(const ServiceId &Name, std::optional<double> Retries) {
+  Services_[Name].Interval_ =
+      Retries ? std::chrono::duration_cast<Duration>(Window / std::max(1.0, *Retries))
+              : Duration::zero();
+}
+
 double RetryBudget::available(TimePoint Now, const ServiceId &Name, Duration Within) const {
   const auto Found = Services_.find(Name);
   if (Found == Services_.end())
@@ -187,6 +194,8 @@
 
 bool RetryBudget::take(TimePoint Now, const ServiceId &Name, bool Urgent, double Place) {
   Service &Item = Services_[Name];
+  if (Now - Item.RetriedAt_ < Item.Interval_)
+    return false;
   const double Share = Settings_.Ratio_ * budgetFraction(Item);
   const double Allowance = allowance(Item);
   const double SpentOther = spent(Now, Item.Other_);
@@ -205,11 +214,13 @@
   if (Earned - spent(Now, Item.Urgent_) - SpentOther >= 1.0 &&
       (Urgent || EarnedOther + Allowance - SpentOther >= 1.0)) {
     (Urgent ? Item.Urgent_ : Item.Other_).Retries_.add(Now);
+    Item.RetriedAt_ = Now;
     return true;
   }
   if (!Item.Lent_ || leftOfLoan(Now, Item) < 1.0)
     return false;
   Item.Borrowed_.add(Now);
+  Item.RetriedAt_ = Now;
   return true;
 }
 
--- a/src/engine/room_meter.cpp
+++ b/src/engine/room_meter.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace bronzestand {
 namespace {
@@ -37,29 +38,37 @@
 /// Classes that were called within this time are those that are called now.
 constexpr Duration RecentTime = std::chrono::seconds(10);
 
-/// Half-life in seconds of an event in the rates that show whether servers are full.
+/// Half-life in seconds of an event in the rates of the last moment, and arrivals in it that show
+/// the share of rejections.
 constexpr double MomentHalfLifeS = 0.15;
-/// Servers are full if their share of rejections, at first above HighestShare, falls below this
-/// part of it soon after a degradation began, because fewer requests are admitted; and the arrivals
-/// in that share.
-constexpr double HighestShare = 0.5;
-constexpr double FallenPart = 0.6;
-constexpr double MinArrivals = 30.0;
-constexpr Duration MaxResponse = std::chrono::seconds(2);
+constexpr double MinArrivals = 20.0;
+/// Share of rejections above which a call costs so many retries that hardly any request is whole.
+constexpr double MostRejections = 0.85;
+/// Servers are full if this logarithm of the ratio of the likelihoods shows it, and half-life in
+/// seconds of the arrivals that it is computed from.
+constexpr double FullEvidence = 8.0;
+constexpr double EvidenceHalfLifeS = 2.0;
+/// Share of rejections above which full servers are overloaded.
+constexpr double HighRejections = 0.3;
+/// Full servers are first given this part of what they accept while they are overloaded.
+constexpr double UsedPart = 0.95;
 /// Part by which a node follows the room that is known, for each measurement.
 constexpr double FollowPart = 0.2;
-/// Share of rejections above which full servers are overloaded. They are given UsedPart of what
-/// they take then.
-constexpr double HighRejections = 0.25;
-constexpr double UsedPart = 0.95;
-/// Share of rejections at which full servers are used to about 95 %, and the change of the share of
-/// the calls for each measurement, as a part of the difference.
-constexpr double AimedRejections = 0.05;
+/// Full servers are used best if they reject as many arrivals as the budget can repeat, spread over
+/// a window of this many seconds, within these limits. The share of the calls changes by this part
+/// of the difference for each measurement.
+constexpr double WindowS = 10.0;
+constexpr double LeastAimed = 0.05;
+constexpr double MostAimed = 0.2;
 constexpr double Gain = 0.3;
+/// The share of the calls is used if this part of it arrives. What arrives varies by some 10 %.
+constexpr double NearlyAll = 0.85;
+/// Servers that are overloaded by this part of the calls that they were given first are not full.
+constexpr double RefutedPart = 0.5;
 /// A row of this many accepted arrivals shows that servers are no longer full: its chance is below
-/// 1 % at the aimed share of rejections. The share grows by this factor for each measurement then.
+/// 1 % at 5 % rejections. The share grows by this factor for each measurement then.
 constexpr double FreeRow = 100.0;
-constexpr double FreeGrowth = 1.3;
+constexpr double FreeGrowth = 2.0;
 
 double seconds(Duration Time) { return std::chrono::duration<double>(Time).count(); }
 
@@ -81,13 +90,12 @@
 RoomMeter::Entry::Entry()
     : Recent_(RecentHalfLifeS), Usual_(UsualHalfLifeS),
       Rejections_(RejectionHalfLifeS, AssumedAccepted),
-      Degradation_(DegradationHalfLifeS, AssumedInDegradation), Called_(MomentHalfLifeS),
-      Served_(MomentHalfLifeS), Refused_(MomentHalfLifeS) {}
+      Degradation_(DegradationHalfLifeS, AssumedInDegradation), Served_(MomentHalfLifeS),
+      Refused_(MomentHalfLifeS) {}
 
 void RoomMeter::first(TimePoint Now, const ServiceId &Service, const ClassId &Class) {
   Entry &Item = Entries_[Service];
   Item.Recent_.add(Now);
-  Item.Called_.add(Now);
   if (!Item.Degraded_ && !Item.Full_)
     Item.Usual_.add(Now);
   Item.Classes_[Class] = Now;
@@ -98,6 +106,8 @@
   Item.ArrivedAt_ = Now;
   Item.Rejections_.ended(Now, !Accepted);
   (Accepted ? Item.Served_ : Item.Refused_).add(Now);
+  Item.Since_.Accepted_ += Accepted ? 1.0 : 0.0;
+  Item.Since_.Number_ += 1.0;
   Item.AcceptedInRow_ = Accepted ? Item.AcceptedInRow_ + 1.0 : 0.0;
   if (!Item.Degraded_) {
     if (Accepted || Item.Rejections_.share(Now) <= DegradedLevel)
@@ -108,7 +118,10 @@
         Item.Full_ || (Item.EndedAt_ != TimePoint() && Now - Item.EndedAt_ <= TellRecovery);
     if (!Resumed) {
       Item.DegradedAt_ = Now;
-      Item.MostRejected_ = 0.0;
+      Item.Served_ = Item.Refused_ = RateMeter(MomentHalfLifeS);
+      Item.MeasuredAt_ = Now;
+      Item.Since_ = Item.Overload_ = Arrivals();
+      Item.LogArrivals_ = 0.0;
     }
     Item.Reference_ = std::max(Item.Usual_.rate(Now), Resumed ? Item.Reference_ : 0.0);
     Item.ReferenceAt_ = Now;
@@ -137,46 +150,110 @@
              : 1.0 - Found->second.Degradation_.share(Now);
 }
 
-void RoomMeter::updateCapacity(TimePoint Now, Entry &Item, std::optional<double> Known) {
-  const double Served = Item.Served_.rate(Now);
+double RoomMeter::rejected(TimePoint Now, const Entry &Item) {
   const double Refused = Item.Refused_.rate(Now);
-  const double Called = Item.Called_.rate(Now);
-  const double Rejected = Refused / std::max(1.0, Served + Refused);
-  const double Share = UsedPart * Served / std::max(1.0, Item.Reference_);
-  const bool Counts = (Served + Refused) * MomentHalfLifeS / std::log(2.0) >= MinArrivals;
-  if (!Item.Full_) {
-    if (!Counts || Now - Item.DegradedAt_ > MaxResponse)
-      return;
-    Item.MostRejected_ = std::max(Item.MostRejected_, Rejected);
-    if (Item.MostRejected_ < HighestShare || Rejected > FallenPart * Item.MostRejected_)
-      return;
-    Item.Full_ = true;
-    Item.Capacity_ = Share;
+  return Refused / std::max(1.0, Item.Served_.rate(Now) + Refused);
+}
+
+bool RoomMeter::isFull(const ServiceId &Service) const {
+  const auto Found = Entries_.find(Service);
+  return Found != Entries_.end() && Found->second.Full_;
+}
+
+bool RoomMeter::gainsByRetries(TimePoint Now, const ServiceId &Service) const {
+  const auto Found = Entries_.find(Service);
+  if (Found == Entries_.end())
+    return true;
+  const Entry &Item = Found->second;
+  if (Item.Full_)
+    return rejected(Now, Item) <= HighRejections;
+  const double Arrivals =
+      (Item.Served_.rate(Now) + Item.Refused_.rate(Now)) * MomentHalfLifeS / std::log(2.0);
+  // The share of the last moment is known first, if there are enough arrivals.
+  return (Arrivals >= MinArrivals ? rejected(Now, Item) : 1.0 - accepted(Now, Service)) <=
+         MostRejections;
+}
+
+// Compares the likelihoods that the accepted arrivals are a constant number per second, and that
+// they are a constant share of the arrivals. Both models have one parameter, taken from the sums.
+double RoomMeter::fullEvidence(const Entry &Item) {
+  const Arrivals &All = Item.Overload_;
+  return All.Number_ > 0.0
+             ? All.Accepted_ * std::log(All.Number_ / All.Seconds_) - Item.LogArrivals_
+             : 0.0;
+}
+
+void RoomMeter::updateFull(TimePoint Now, Entry &Item, const Arrivals &Last,
+                           const std::optional<Room> &Known) {
+  // Servers that reject few arrivals accept nearly all, whether they are full or not.
+  if (Last.rejected() > HighRejections && Last.Seconds_ > 0.0) {
+    const double Weight = std::exp2(-Last.Seconds_ / EvidenceHalfLifeS);
+    Arrivals &All = Item.Overload_;
+    All.Accepted_ = All.Accepted_ * Weight + Last.Accepted_;
+    All.Number_ = All.Number_ * Weight + Last.Number_;
+    All.Seconds_ = All.Seconds_ * Weight + Last.Seconds_;
+    Item.LogArrivals_ =
+        Item.LogArrivals_ * Weight + Last.Accepted_ * std::log(Last.Number_ / Last.Seconds_);
   }
+  const double Evidence = fullEvidence(Item);
+  // Nodes whose own calls show less adopt it, because a room that they measure as the budget would
+  // contradict the others.
+  const bool IsTold =
+      Known && Known->Full_ && Evidence > -FullEvidence && Item.AcceptedInRow_ < FreeRow;
+  if (Item.Full_ || (Evidence < FullEvidence && !IsTold))
+    return;
+  const Arrivals &All = Item.Overload_;
+  Item.Full_ = true;
+  Item.FullAt_ = Now;
+  Item.FirstCapacity_ =
+      All.Seconds_ > 0.0
+          ? std::min(1.0, UsedPart * All.Accepted_ / All.Seconds_ / std::max(1.0, Item.Reference_))
+          : Known->Share_;
+  Item.Capacity_ = Item.Taken_ = Item.FirstCapacity_;
+}
+
+void RoomMeter::updateCapacity(TimePoint Now, Entry &Item, double Retries,
+                               const std::optional<Room> &Known) {
+  Arrivals Last = std::exchange(Item.Since_, Arrivals());
+  Last.Seconds_ = seconds(Now - std::exchange(Item.MeasuredAt_, Now));
+  updateFull(Now, Item, Last, Known);
+  // Calls of requests that were admitted before show nothing of the share that is told.
+  if (!Item.Full_ || Now - Item.FullAt_ < PendingTime)
+    return;
   if (Known)
-    Item.Capacity_ += FollowPart * (*Known - Item.Capacity_);
-  if (Rejected > HighRejections && Served < Called)
-    Item.Capacity_ = std::min(Item.Capacity_, Share);
-  else if (Item.AcceptedInRow_ >= FreeRow)
+    Item.Capacity_ += FollowPart * (Known->Share_ - Item.Capacity_);
+  const double Rejected = Last.rejected();
+  const double ServedRate = Item.Served_.rate(Now);
+  const double RetryRate = Retries / WindowS;
+  const double Aimed =
+      std::clamp(RetryRate / std::max(1.0, RetryRate + ServedRate), LeastAimed, MostAimed);
+  const double Served = ServedRate / std::max(1.0, Item.Reference_);
+  const bool IsOverloaded = Rejected > HighRejections;
+  if (IsOverloaded)
+    Item.Taken_ += FollowPart * (Served - Item.Taken_);
+  if (Item.AcceptedInRow_ >= FreeRow && Served >= NearlyAll * Item.Taken_)
     Item.Capacity_ *= FreeGrowth;
-  else
-    Item.Capacity_ *= 1.0 + Gain * (AimedRejections - Rejected);
-  if (Item.Capacity_ < 1.0)
+  // A share that is not used yet does not show that a larger one is accepted.
+  else if (Rejected > Aimed || Served >= NearlyAll * Item.Capacity_)
+    Item.Capacity_ *= 1.0 + Gain * (Aimed - Rejected);
+  const bool IsRefuted = IsOverloaded && Item.Capacity_ < RefutedPart * Item.FirstCapacity_;
+  if (Item.Capacity_ < 1.0 && !IsRefuted)
     return;
   Item.Full_ = false;
-  Item.Capacity_ = 1.0;
+  Item.Overload_ = Arrivals();
+  Item.LogArrivals_ = 0.0;
 }
 
 RoomMeter::Room RoomMeter::room(TimePoint Now, const ServiceId &Service, double Retries,
-                                std::optional<double> Known) {
+                                const std::optional<Room> &Known) {
   const auto Found = Entries_.find(Service);
-  if (Found == Entries_.end() || (!Found->second.Degraded_ && !Found->second.Full_))
+  if (Found == Entries_.end() || Found->second.DegradedAt_ == TimePoint())
     return {};
   Entry &Item = Found->second;
-  updateCapacity(Now, Item, Known);
+  updateCapacity(Now, Item, Retries, Known);
   if (Item.Full_) {
     Item.EndedAt_ = Now;
-    return {Item.Capacity_, Item.Capacity_};
+    return {Item.Capacity_, Item.Capacity_, true};
   }
   if (!Item.Degraded_)
     return {};
@@ -200,7 +277,8 @@
   // The longer the row, the more requests are admitted, because only their calls show the end.
   const double Shown = std::min(1.0, Item.AcceptedInRow_ / std::max(1.0, Item.Row_));
   const double Least = Shown < 0.5 ? 0.0 : std::pow(LeastShare, 1.0 - Shown);
-  return {std::max(Least, BudgetRate / Needed), Accepted * (1.0 + BudgetRate / Item.Reference_)};
+  return {std::max(Least, BudgetRate / Needed), Accepted * (1.0 + BudgetRate / Item.Reference_),
+          false};
 }
 
 std::vector<ServiceId> RoomMeter::told(TimePoint Now) const {
--- a/src/engine/route_health.cpp
+++ b/src/engine/route_health.cpp
@@ -32,10 +32,14 @@
 
 /// Weight of one measurement of the room; several nodes measure it from their own budgets.
 constexpr double RoomWeight = 0.5;
+/// A room of full servers counts for this time.
+constexpr Duration FullTime = std::chrono::milliseconds(500);
 /// A room above this counts as 1, which the mean of several measurements would never reach.
 constexpr double FullLevel = 0.95;
 /// Factor by which the room must rise to be news.
 constexpr double NewsFactor = 3.0;
+/// A fall from a lower room is not news, because it makes little difference.
+constexpr double MinNewsShare = 0.1;
 /// A class of runs needs the calls that it made within this time. Longer than a degradation, in
 /// which few of its runs are admitted.
 constexpr Duration NeedLifetime = std::chrono::seconds(60);
@@ -146,13 +150,18 @@
     return;
   if (Old && Old->Limit_ == Known.Limit_ && Known.At_ <= Item.RoomAt_)
     return;
-  const bool Blends = Old && Class == Known.Limit_;
+  // Nodes that have not recognised full servers yet tell a room that is not theirs.
+  if (Old && Old->Room_.Full_ && !Known.Room_.Full_ && Known.Room_.Share_ < 1.0 &&
+      Known.At_ - Old->At_ <= FullTime)
+    return;
+  const bool Blends = Old && Class == Known.Limit_ && Old->Room_.Full_ == Known.Room_.Full_;
   const double Weight = Known.Room_.Share_ >= 1.0 ? BetterWeight : RoomWeight;
   const auto Move = [&](double &Value, double Measured) {
     Value += (Blends ? Weight : 1.0) * (Measured - Value);
   };
   Move(Item.Room_.Share_, Known.Room_.Share_);
   Move(Item.Room_.Open_, Known.Room_.Open_);
+  Item.Room_.Full_ = Known.Room_.Full_;
   if (Item.Room_.Share_ >= FullLevel)
     Item.Room_ = RoomMeter::Room();
   // A node that has restarted counts the calls of runs that fail, and so too few.
@@ -167,7 +176,8 @@
 
 void RouteHealth::noteNews(Entry &Item) {
   const double Share = Item.Room_.Share_;
-  if (Share >= NewsFactor * Item.NewsShare_) {
+  const bool Falls = Item.NewsShare_ >= MinNewsShare && NewsFactor * Share <= Item.NewsShare_;
+  if (Share >= NewsFactor * Item.NewsShare_ || Falls) {
     NewsAt_ = Item.RoomAt_;
     Item.NewsShare_ = Share;
   }
@@ -312,8 +322,10 @@
     if (State.Age_ <= StateLifetime)
       merge(State.Class_, State.Success_, State.Accepted_, Now - State.Age_);
     if (!State.Limit_.empty() && State.RoomAge_ <= StateLifetime)
-      mergeRoom(State.Class_,
-                {{State.Room_, State.Open_}, State.Answers_, State.Limit_, Now - State.RoomAge_});
+      mergeRoom(State.Class_, {{State.Room_, State.Open_, State.Full_},
+                               State.Answers_,
+                               State.Limit_,
+                               Now - State.RoomAge_});
   }
 }
 
@@ -353,6 +365,7 @@
   if (const auto Known = roomOf(Now, Class)) {
     Result.Room_ = Known->Room_.Share_;
     Result.Open_ = Known->Room_.Open_;
+    Result.Full_ = Known->Room_.Full_;
     Result.Answers_ = Known->Answers_;
     Result.Limit_ = Known->Limit_;
     Result.RoomAge_ = Now - Known->At_;
@@ -389,14 +402,16 @@
 void shareRooms(TimePoint Now, RoomMeter &Rooms, RetryBudget &Budget, RouteHealth &Health) {
   for (const ServiceId &Service : Rooms.told(Now)) {
     const bool MayLend = Budget.mayLend(Now, Service);
-    Budget.lend(Service, MayLend && Rooms.isDegraded(Service));
+    Budget.lend(Service, MayLend && (Rooms.isDegraded(Service) || Rooms.isFull(Service)));
     const std::vector<ClassId> Classes = Rooms.classes(Now, Service);
-    std::optional<double> Known;
+    std::optional<RoomMeter::Room> Known;
     for (const ClassId &Class : Classes)
       if (const auto State = Health.find(Now, Class); State && State->Limit_ == Class)
-        Known = State->Room_;
-    const RoomMeter::Room Room =
-        Rooms.room(Now, Service, Budget.available(Now, Service, RoomMeter::Horizon), Known);
+        Known = RoomMeter::Room{State->Room_, State->Open_, State->Full_};
+    const double Retries = Budget.available(Now, Service, RoomMeter::Horizon);
+    Budget.spread(Service, MayLend && !Rooms.gainsByRetries(Now, Service) ? std::optional(Retries)
+                                                                          : std::nullopt);
+    const RoomMeter::Room Room = Rooms.room(Now, Service, Retries, Known);
     const double Accepted = Rooms.accepted(Now, Service);
     for (const ClassId &Class : Classes)
       MayLend ? Health.measured(Now, Class, Accepted, Room) : Health.measured(Now, Class, Accepted);
--- a/src/node/codec_call.cpp
+++ b/src/node/codec_call.cpp
@@ -138,6 +138,8 @@
     Out.push_back(encodeShare(In.Open_));
     Out.push_back(In.Answers_);
     Out.push_back(In.RoomAge_.count());
+    if (In.Full_)
+      Out.push_back(In.Full_);
   }
 }
 
@@ -153,6 +155,7 @@
     Out.Open_ = decodeShare(In.at(6));
     Out.Answers_ = std::max(0.0, In.at(7).get<double>());
     Out.RoomAge_ = Duration(In.at(8).get<Duration::rep>());
+    Out.Full_ = In.size() > 9 && In.at(9).get<bool>();
   }
 }
 
