Show the end of a degradation earlier when hardly any call is accepted

Retries left are spread while they complete hardly any call and serve as probes, nodes without new arrivals do not repeat their room, entries open at once, and callers without a chance come back late. whole_requests_nearly_all_is_rejected_no_fewer_are_whole_than_before passes.

--- a/include/bronzestand/retry_budget.h
+++ b/include/bronzestand/retry_budget.h
@@ -92,9 +92,8 @@
   bool mayLend(TimePoint Now, const ServiceId &Service) const;
   /// Lends the fractions of the services above to a service, or ends the loan.
   void lend(const ServiceId &Service, bool Lent);
-  /// Lets retries to a service follow each other only as fast as this number of them spread over a
-  /// window, or ends that.
-  void spread(const ServiceId &Service, std::optional<double> Retries);
+  /// Spreads a number of retries to a service over a time, or ends that. Few may follow at once.
+  void spread(const ServiceId &Service, std::optional<double> Retries, Duration Time);
   /// Returns the retries that the budget can provide within a time, from what is left and from what
   /// will be earned.
   double available(TimePoint Now, const ServiceId &Service, Duration Within) const;
@@ -118,9 +117,9 @@
     double RepeatedPart_ = 0.0;    ///< sum of shares of repeated runs, less the calls counted
     TimePoint Since_{};            ///< first attempts are counted since then
     bool Leaf_ = false;            ///< its backend servers are known to make no calls
-    Duration Interval_{};          ///< between two retries
-    TimePoint RetriedAt_{};
-    bool Lent_ = false; ///< the fractions of the services above are lent to it
+    Duration Interval_{};          ///< between retries that are spread; 0 if they are not
+    TimePoint NextRetryAt_{};      ///< time from which the next one may be sent
+    bool Lent_ = false;            ///< the fractions of the services above are lent to it
   };
 
   double budgetFraction(const Service &Item) const;
--- a/include/bronzestand/room_meter.h
+++ b/include/bronzestand/room_meter.h
@@ -67,6 +67,9 @@
   ///        follow it, because each sees the effect of what the others tell.
   Room room(TimePoint Now, const ServiceId &Service, double Retries,
             const std::optional<Room> &Known = std::nullopt);
+  /// Returns whether to tell the room of a service now: it is known from new arrivals, or was told
+  /// long ago. A node that repeats an old room contradicts those that have seen the end.
+  bool takeNews(TimePoint Now, const ServiceId &Service);
   /// Returns the services whose room is to be told: degraded ones, and those whose degradation has
   /// ended recently.
   std::vector<ServiceId> told(TimePoint Now) const;
@@ -98,6 +101,7 @@
     double LogArrivals_ =
         0.0; ///< sum of the logarithms of the arrivals per second, by accepted one
     TimePoint MeasuredAt_{};
+    TimePoint ToldAt_{};
     TimePoint FullAt_{};         ///< time at which the servers were recognised as full
     double FirstCapacity_ = 1.0; ///< value of Capacity_ then
     double Taken_ = 1.0;         ///< share of the usual calls that overloaded servers accept
--- a/src/engine/retry_budget.cpp
+++ b/src/engine/retry_budget.cpp
@@ -25,7 +25,9 @@
 /// Slots of a window of 10 s, the window that the platform measures. First attempts are counted
 /// over at most 10 s, including the slot that is being filled, and retries over at least 10 s.
 constexpr std::size_t WindowSlots = 40;
-constexpr std::chrono::duration<double> Window = WindowSlots * detail::RecentCount::SlotTime;
+/// Retries that are spread may be this many ahead of their times, because a call that is not
+/// repeated at once is lost.
+constexpr int SpreadBurst = 8;
 constexpr std::size_t HalfWindow = WindowSlots / 2;
 
 } // namespace
@@ -146,9 +148,10 @@
   Item.Lent_ = Lent && Item.Leaf_;
 }
 
-void RetryBudget::spread(const ServiceId &Name, std::optional<double> Retries) {
+void RetryBudget::spread(const ServiceId &Name, std::optional<double> Retries, Duration Time) {
   Services_[Name].Interval_ =
-      Retries ? std::chrono::duration_cast<Duration>(Window / std::max(1.0, *Retries))
+      Retries ? std::chrono::duration_cast<Duration>(std::chrono::duration<double>(Time) /
+                                                     std::max(1.0, *Retries))
               : Duration::zero();
 }
 
@@ -194,7 +197,7 @@
 
 bool RetryBudget::take(TimePoint Now, const ServiceId &Name, bool Urgent, double Place) {
   Service &Item = Services_[Name];
-  if (Now - Item.RetriedAt_ < Item.Interval_)
+  if (Item.Interval_ > Duration::zero() && Now < Item.NextRetryAt_)
     return false;
   const double Share = Settings_.Ratio_ * budgetFraction(Item);
   const double Allowance = allowance(Item);
@@ -214,13 +217,15 @@
   if (Earned - spent(Now, Item.Urgent_) - SpentOther >= 1.0 &&
       (Urgent || EarnedOther + Allowance - SpentOther >= 1.0)) {
     (Urgent ? Item.Urgent_ : Item.Other_).Retries_.add(Now);
-    Item.RetriedAt_ = Now;
+    Item.NextRetryAt_ =
+        std::max(Item.NextRetryAt_, Now - SpreadBurst * Item.Interval_) + Item.Interval_;
     return true;
   }
   if (!Item.Lent_ || leftOfLoan(Now, Item) < 1.0)
     return false;
   Item.Borrowed_.add(Now);
-  Item.RetriedAt_ = Now;
+  Item.NextRetryAt_ =
+      std::max(Item.NextRetryAt_, Now - SpreadBurst * Item.Interval_) + Item.Interval_;
   return true;
 }
 
--- a/src/engine/return_order.cpp
+++ b/src/engine/return_order.cpp
@@ -17,6 +17,10 @@
 /// so that those of one moment do not come back at one moment.
 constexpr double EarliestReturnShare = 1.0 / 3;
 constexpr double MinSpreadS = 0.5;
+/// If room for all becomes free only in this multiple of the latest time, hardly any of the callers
+/// is admitted before the degradation ends. They come back in the last part of the time then.
+constexpr double HopelessFactor = 4.0;
+constexpr double LateReturnShare = 0.9;
 
 } // namespace
 
@@ -64,8 +68,10 @@
   const double Latest = std::chrono::duration<double>(TimeLeft).count() * LatestReturnShare;
   const double Until =
       std::min(Latest, std::max(MinSpreadS, std::chrono::duration<double>(Free).count()));
+  const bool IsHopeless = std::chrono::duration<double>(Free).count() >= HopelessFactor * Latest;
+  const double Earliest = Until * (IsHopeless ? LateReturnShare : EarliestReturnShare);
   return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
-      std::uniform_real_distribution<double>(Until * EarliestReturnShare, Until)(Random_)));
+      std::uniform_real_distribution<double>(Earliest, Until)(Random_)));
 }
 
 } // namespace bronzestand
--- a/src/engine/room_meter.cpp
+++ b/src/engine/room_meter.cpp
@@ -12,7 +12,7 @@
 constexpr double RecentHalfLifeS = 0.5;
 constexpr double UsualHalfLifeS = 3.0;
 constexpr double RejectionHalfLifeS = 0.25;
-constexpr double DegradationHalfLifeS = 1.0;
+constexpr double DegradationHalfLifeS = 2.0;
 /// Arrivals that are assumed to have been accepted, so that a few rejections prove little, and the
 /// same for the share during a degradation.
 constexpr double AssumedAccepted = 3.0;
@@ -42,6 +42,8 @@
 /// the share of rejections.
 constexpr double MomentHalfLifeS = 0.15;
 constexpr double MinArrivals = 20.0;
+/// A room is told after this time without arrivals too, so that it is not forgotten.
+constexpr Duration MaxTellPause = std::chrono::milliseconds(800);
 /// Share of rejections above which a call costs so many retries that hardly any request is whole.
 constexpr double MostRejections = 0.85;
 /// Servers are full if this logarithm of the ratio of the likelihoods shows it, and half-life in
@@ -281,6 +283,14 @@
           false};
 }
 
+bool RoomMeter::takeNews(TimePoint Now, const ServiceId &Service) {
+  Entry &Item = Entries_[Service];
+  if (Item.ArrivedAt_ <= Item.ToldAt_ && Now - Item.ToldAt_ < MaxTellPause)
+    return false;
+  Item.ToldAt_ = Now;
+  return true;
+}
+
 std::vector<ServiceId> RoomMeter::told(TimePoint Now) const {
   std::vector<ServiceId> Result;
   for (const auto &[Service, Item] : Entries_)
--- a/src/engine/route_health.cpp
+++ b/src/engine/route_health.cpp
@@ -34,6 +34,10 @@
 constexpr double RoomWeight = 0.5;
 /// A room of full servers counts for this time.
 constexpr Duration FullTime = std::chrono::milliseconds(500);
+/// Time over which the retries left are spread while they complete hardly any call. Full servers
+/// need them for as long as they are full; at other ones they show the end.
+constexpr Duration FullSpreadTime = std::chrono::seconds(10);
+constexpr Duration ProbeSpreadTime = std::chrono::seconds(4);
 /// A room above this counts as 1, which the mean of several measurements would never reach.
 constexpr double FullLevel = 0.95;
 /// Factor by which the room must rise to be news.
@@ -65,9 +69,11 @@
 constexpr double GrowFactor = 1.25;
 constexpr double RecoverFactor = 4.0;
 constexpr double UnknownFactor = 1.12;
+/// The same factor while the room is known: the room is measured, so most of it is given at once.
+constexpr double RoomRecoverFactor = 25.0;
 /// Share that is always admitted while the room is known. It is measured by the calls of the whole
 /// fleet, so fewer requests suffice than for the success of runs.
-constexpr double MinRoomShare = 0.04;
+constexpr double MinRoomShare = 0.05;
 /// Room that is kept for the urgent requests that will come, as a multiple of that of those that
 /// come now, when no room is left: the retries left are spread over two seconds, and a degradation
 /// may last longer.
@@ -409,12 +415,15 @@
       if (const auto State = Health.find(Now, Class); State && State->Limit_ == Class)
         Known = RoomMeter::Room{State->Room_, State->Open_, State->Full_};
     const double Retries = Budget.available(Now, Service, RoomMeter::Horizon);
-    Budget.spread(Service, MayLend && !Rooms.gainsByRetries(Now, Service) ? std::optional(Retries)
-                                                                          : std::nullopt);
+    const bool IsWaste = MayLend && !Rooms.gainsByRetries(Now, Service);
+    Budget.spread(Service, IsWaste ? std::optional(Retries) : std::nullopt,
+                  Rooms.isFull(Service) ? FullSpreadTime : ProbeSpreadTime);
     const RoomMeter::Room Room = Rooms.room(Now, Service, Retries, Known);
     const double Accepted = Rooms.accepted(Now, Service);
+    const bool TellsRoom = MayLend && Rooms.takeNews(Now, Service);
     for (const ClassId &Class : Classes)
-      MayLend ? Health.measured(Now, Class, Accepted, Room) : Health.measured(Now, Class, Accepted);
+      TellsRoom ? Health.measured(Now, Class, Accepted, Room)
+                : Health.measured(Now, Class, Accepted);
   }
 }
 
@@ -500,7 +509,7 @@
 }
 
 void RouteAdmission::move(const ClassId &Class, double Target) {
-  const double Share = std::min(Target, share(Class) * RecoverFactor);
+  const double Share = std::min(Target, share(Class) * RoomRecoverFactor);
   if (Share >= WholeShare) {
     Shares_.erase(Class);
     return;
--- a/tests/unit/whole_requests_test.cpp
+++ b/tests/unit/whole_requests_test.cpp
@@ -104,6 +104,17 @@
   checkBounds(Item, Values);
 }
 
+/// Checks that at least as many requests are whole as with the earlier law.
+void checkNoFewerThanBefore(const Replay::Options &Values) {
+  const Replay Item = replay(Values);
+  const Replay::Counts During = Item.sumDegraded("root");
+  const Replay::Counts Before = replayEarlier(Values).sumDegraded("root");
+  INFO("rejected " << Values.Rejected_ << ", seed " << Values.Seed_ << ": whole " << During.Whole_
+                   << ", earlier law " << Before.Whole_);
+  CHECK(During.Whole_ >= Before.Whole_);
+  checkBounds(Item, Values);
+}
+
 } // namespace
 
 // Guards against work in vain for requests that get some of their answers, and against a budget
@@ -241,6 +252,17 @@
   CHECK(During.Whole_ >= Before.Whole_);
 }
 
+// The same for other shares of rejections and seeds, against a law that fits one of them only.
+TEST_CASE("whole_requests_other_shares_are_rejected_no_fewer_are_whole_than_before") {
+  checkNoFewerThanBefore(GENERATE(rejecting(0.3, 2), rejecting(0.7, 1), rejecting(0.7, 2),
+                                  rejecting(0.8, 2), rejecting(0.9, 1), rejecting(1.0, 2)));
+}
+
+// The same for a seed with which fewer calls show the end.
+TEST_CASE("whole_requests_nine_tenths_are_rejected_second_seed_no_fewer_are_whole_than_before") {
+  checkNoFewerThanBefore(rejecting(0.9, 2));
+}
+
 // Guards against retries beyond the budget and work in vain when the nodes that measure the room
 // forget it, with their budgets, when half of the messages are lost, and in a degradation longer
 // than a window.
