--- a/src/engine/route_health.cpp
+++ b/src/engine/route_health.cpp
@@ -32,10 +32,18 @@
 
 /// Weight of one measurement of the room; several nodes measure it from their own budgets.
 constexpr double RoomWeight = 0.5;
+/// A room of full servers counts for this time.
+constexpr Duration FullTime = std::chrono::milliseconds(500);
+/// Time over which the retries left are spread while they complete hardly any call. Full servers
+/// need them for as long as they are full; at other ones they show the end.
+constexpr Duration FullSpreadTime = std::chrono::seconds(10);
+constexpr Duration ProbeSpreadTime = std::chrono::seconds(4);
 /// A room above this counts as 1, which the mean of several measurements would never reach.
 constexpr double FullLevel = 0.95;
 /// Factor by which the room must rise to be news.
 constexpr double NewsFactor = 3.0;
+/// A fall from a lower room is not news, because it makes little difference.
+constexpr double MinNewsShare = 0.1;
 /// A class of runs needs the calls that it made within this time. Longer than a degradation, in
 /// which few of its runs are admitted.
 constexpr Duration NeedLifetime = std::chrono::seconds(60);
@@ -61,9 +69,11 @@
 constexpr double GrowFactor = 1.25;
 constexpr double RecoverFactor = 4.0;
 constexpr double UnknownFactor = 1.12;
+/// The same factor while the room is known: the room is measured, so most of it is given at once.
+constexpr double RoomRecoverFactor = 25.0;
 /// Share that is always admitted while the room is known. It is measured by the calls of the whole
 /// fleet, so fewer requests suffice than for the success of runs.
-constexpr double MinRoomShare = 0.04;
+constexpr double MinRoomShare = 0.05;
 /// Room that is kept for the urgent requests that will come, as a multiple of that of those that
 /// come now, when no room is left: the retries left are spread over two seconds, and a degradation
 /// may last longer.
@@ -146,13 +156,18 @@
     return;
   if (Old && Old->Limit_ == Known.Limit_ && Known.At_ <= Item.RoomAt_)
     return;
-  const bool Blends = Old && Class == Known.Limit_;
+  // Nodes that have not recognised full servers yet tell a room that is not theirs.
+  if (Old && Old->Room_.Full_ && !Known.Room_.Full_ && Known.Room_.Share_ < 1.0 &&
+      Known.At_ - Old->At_ <= FullTime)
+    return;
+  const bool Blends = Old && Class == Known.Limit_ && Old->Room_.Full_ == Known.Room_.Full_;
   const double Weight = Known.Room_.Share_ >= 1.0 ? BetterWeight : RoomWeight;
   const auto Move = [&](double &Value, double Measured) {
     Value += (Blends ? Weight : 1.0) * (Measured - Value);
   };
   Move(Item.Room_.Share_, Known.Room_.Share_);
   Move(Item.Room_.Open_, Known.Room_.Open_);
+  Item.Room_.Full_ = Known.Room_.Full_;
   if (Item.Room_.Share_ >= FullLevel)
     Item.Room_ = RoomMeter::Room();
   // A node that has restarted counts the calls of runs that fail, and so too few.
@@ -167,7 +182,8 @@
 
 void RouteHealth::noteNews(Entry &Item) {
   const double Share = Item.Room_.Share_;
-  if (Share >= NewsFactor * Item.NewsShare_) {
+  const bool Falls = Item.NewsShare_ >= MinNewsShare && NewsFactor * Share <= Item.NewsShare_;
+  if (Share >= NewsFactor * Item.NewsShare_ || Falls) {
     NewsAt_ = Item.RoomAt_;
     Item.NewsShare_ = Share;
   }
@@ -312,8 +328,10 @@
     if (State.Age_ <= StateLifetime)
       merge(State.Class_, State.Success_, State.Accepted_, Now - State.Age_);
     if (!State.Limit_.empty() && State.RoomAge_ <= StateLifetime)
-      mergeRoom(State.Class_,
-                {{State.Room_, State.Open_}, State.Answers_, State.Limit_, Now - State.RoomAge_});
+      mergeRoom(State.Class_, {{State.Room_, State.Open_, State.Full_},
+                               State.Answers_,
+                               State.Limit_,
+                               Now - State.RoomAge_});
   }
 }
 
@@ -353,6 +371,7 @@
   if (const auto Known = roomOf(Now, Class)) {
     Result.Room_ = Known->Room_.Share_;
     Result.Open_ = Known->Room_.Open_;
+    Result.Full_ = Known->Room_.Full_;
     Result.Answers_ = Known->Answers_;
     Result.Limit_ = Known->Limit_;
     Result.RoomAge_ = Now - Known->At_;
@@ -389,17 +408,22 @@
 void shareRooms(TimePoint Now, RoomMeter &Rooms, RetryBudget &Budget, RouteHealth &Health) {
   for (const ServiceId &Service : Rooms.told(Now)) {
     const bool MayLend = Budget.mayLend(Now, Service);
-    Budget.lend(Service, MayLend && Rooms.isDegraded(Service));
+    Budget.lend(Service, MayLend && (Rooms.isDegraded(Service) || Rooms.isFull(Service)));
     const std::vector<ClassId> Classes = Rooms.classes(Now, Service);
-    std::optional<double> Known;
+    std::optional<RoomMeter::Room> Known;
     for (const ClassId &Class : Classes)
       if (const auto State = Health.find(Now, Class); State && State->Limit_ == Class)
-        Known = State->Room_;
-    const RoomMeter::Room Room =
-        Rooms.room(Now, Service, Budget.available(Now, Service, RoomMeter::Horizon), Known);
+        Known = RoomMeter::Room{State->Room_, State->Open_, State->Full_};
+    const double Retries = Budget.available(Now, Service, RoomMeter::Horizon);
+    const bool IsWaste = MayLend && !Rooms.gainsByRetries(Now, Service);
+    Budget.spread(Service, IsWaste ? std::optional(Retries) : std::nullopt,
+                  Rooms.isFull(Service) ? FullSpreadTime : ProbeSpreadTime);
+    const RoomMeter::Room Room = Rooms.room(Now, Service, Retries, Known);
     const double Accepted = Rooms.accepted(Now, Service);
+    const bool TellsRoom = MayLend && Rooms.takeNews(Now, Service);
     for (const ClassId &Class : Classes)
-      MayLend ? Health.measured(Now, Class, Accepted, Room) : Health.measured(Now, Class, Accepted);
+      TellsRoom ? Health.measured(Now, Class, Accepted, Room)
+                : Health.measured(Now, Class, Accepted);
   }
 }
 
@@ -485,7 +509,7 @@
 }
 
 void RouteAdmission::move(const ClassId &Class, double Target) {
-  const double Share = std::min(Target, share(Class) * RecoverFactor);
+  const double Share = std::min(Target, share(Class) * RoomRecoverFactor);
   if (Share >= WholeShare) {
     Shares_.erase(Class);
     return;
