--- a/tests/unit/cold_limit_test.cpp
+++ b/tests/unit/cold_limit_test.cpp
@@ -368,3 +368,28 @@
   Limit.sent(Start);
   CHECK(Limit.timeUntil(Start + 1h, 1) > Duration::zero());
 }
+
+// Guards against a node that is restarted again and again, whose quick health requests of each run
+// add up to more than the bound leaves for them.
+TEST_CASE("cold_limit_restarted_node_without_health_answers_keeps_the_bound") {
+  ColdSimulation Run;
+  Run.Rate_ = GENERATE(5.0, 13.0);
+  Run.Over_ = GENERATE(1.0, 1.5);
+  INFO(Run.Rate_ << " " << Run.Over_);
+  Run.HealthLossShare_ = 1.0;
+  Run.ColdUntil_ = Start + 60s;
+  Run.configure();
+  for (int Round = 0; Round < 8; ++Round) {
+    Run.run(300ms);
+    Run.restartNode();
+  }
+  CHECK(Run.isBounded());
+  // A single restart while the bucket is full.
+  Run.Demand_ = 0.0;
+  Run.run(3s);
+  Run.Demand_ = 1150.0;
+  Run.run(500ms);
+  Run.restartNode();
+  Run.run(2s);
+  CHECK(Run.isBounded());
+}
