--- a/include/bronzestand/cold_limit.h
+++ b/include/bronzestand/cold_limit.h
@@ -81,6 +81,10 @@
 private:
   enum class Proof { None, Cold, Warm };
 
+  /// First failed health requests in a row that are repeated at once, as they may be those of single
+  /// connections.
+  static constexpr std::uint32_t QuickRetries = 3;
+
   bool isLimiting(TimePoint Now) const;
   /// Returns whether no answer has shown for a while that the server has not restarted.
   bool isQuiet(TimePoint Now) const;
@@ -117,7 +121,9 @@
   bool HealthRuns_ = false;
   TimePoint HealthSentAt_{};
   TimePoint NextHealthAt_{};
-  std::uint32_t FailedHealth_ = 0; ///< health requests in a row that proved nothing
+  /// Health requests in a row that proved nothing. A new process has no quick retries, because
+  /// those of several short lives of a node would add up.
+  std::uint32_t FailedHealth_ = QuickRetries;
 
   std::pair<std::string, std::uint64_t> Run_; ///< id and start of the server, as listed
   Duration ListedColdFor_{};
--- a/src/engine/cold_limit.cpp
+++ b/src/engine/cold_limit.cpp
@@ -26,9 +26,8 @@
 /// server is warm.
 constexpr Duration ProvingTime = milliseconds(20);
 /// Least time between health requests, after one that proved something, and after the first
-/// failures in a row, which may be those of single connections.
+/// failures in a row.
 constexpr Duration RetryAfterProof = milliseconds(5);
-constexpr std::uint32_t QuickRetries = 3;
 /// Least time after further failures.
 constexpr Duration RetryAfterFailure = milliseconds(400);
 /// Least time between signs, so that a server that is merely slow costs few health requests.
