Do not limit a class whose runs hardly call the limited one

Hire-history of the hire desk needs no other service, and was admitted at 4 % for eight seconds while a service rejected calls that other runs on the same servers make: a few of those calls had its deadline by accident, and 1 call in 20 runs counted as a need. A class now needs a called class if its runs make one call in two runs at least; of a class below that most requests are whole.

--- a/src/engine/route_health.cpp
+++ b/src/engine/route_health.cpp
@@ -49,9 +49,9 @@
 constexpr Duration NeedLifetime = std::chrono::seconds(60);
 /// Half-life in seconds of a run and of a call whose run is not known, in their numbers.
 constexpr double NeedHalfLifeS = 5.0;
-/// A class whose runs make fewer calls each does not need them: a few calls are taken for its own
-/// while no other class has run at the server yet.
-constexpr double MinCalls = 0.05;
+/// A class whose runs make fewer calls each does not need them: most of its requests are whole
+/// without, and a few calls of other classes are taken for its own.
+constexpr double MinCalls = 0.5;
 /// Runs from which the number of calls of a run is known, and runs after which older ones count
 /// half.
 constexpr double MinRuns = 8.0;
--- a/tests/unit/route_health_test.cpp
+++ b/tests/unit/route_health_test.cpp
@@ -245,3 +245,28 @@
   CHECK(State->Answers_ == Approx(CallsOfRun).epsilon(0.1));
   CHECK_FALSE(Health.isLimited(Now, Other));
 }
+
+// Guards against a class that is limited although its runs do not need the limited one: a few calls
+// of other runs are taken for its own, because they have its deadline by accident.
+TEST_CASE("route_health_few_calls_are_taken_for_those_of_a_class_it_is_not_limited") {
+  const ClassId Leaf("leaf");
+  const ClassId Needing("needing");
+  const ClassId Other("other");
+  RouteHealth Health;
+  TimePoint Now{100s};
+  const auto Run = [&](int Number, RunEnd End) {
+    Now += 10ms;
+    Health.called(Now, Leaf, Number % 5 == 0 ? Other : Needing);
+    Health.called(Now, Leaf, Needing);
+    Health.ended(Now, Other, RunEnd::Served);
+    Health.ended(Now, Needing, End);
+  };
+  for (int Number = 0; Number < 300; ++Number)
+    Run(Number, RunEnd::Served);
+  for (int Number = 0; Number < 60; ++Number) {
+    Health.measured(Now, Leaf, 0.45, {0.2, 0.5});
+    Run(Number, RunEnd::Failed);
+  }
+  CHECK(Health.isLimited(Now, Needing));
+  CHECK_FALSE(Health.isLimited(Now, Other));
+}
