Let the overload of called services count whatever region answers

Where a configuration has allowed regions, a shed level counts by the region of the server that answered, and a region without answers counts as not overloaded. Answers now name the part of the level that is of called services, and it holds in all regions. Nodes of earlier builds ignore it and send none. Without allowed regions nothing changes.

--- a/include/bronzestand/call.h
+++ b/include/bronzestand/call.h
@@ -111,6 +111,7 @@
   Duration RateWait_{};       ///< time until the limit allows a further call
   double Failing_ = 0.0;      ///< share of the recent calls that failed at the server
   double Pace_ = 1.0;         ///< time that work takes on the server's host now; 1 is usual
+  double CalleeShed_ = 0.0;   ///< part of Shed_ that is of the services that the server calls
 };
 
 /// Admission level of a service: calls below the threshold are refused at the entry.
--- a/include/bronzestand/shed_level.h
+++ b/include/bronzestand/shed_level.h
@@ -22,9 +22,12 @@
 double shedShare(ShedLevel Level, std::uint32_t Urgency);
 
 /// Controls the level of one backend server by the calls that its node refused for lack of
-/// capacity. The level rises with the fraction of refused calls and falls slowly at first, so that
-/// it settles where the server is just fully used, and faster after a second without refusals. Load
-/// pattern: demand above the capacity for seconds that ends at once.
+/// capacity, and by the time that calls of other backend servers wait here. The level rises with
+/// the fraction of refused calls and falls slowly at first, so that it settles where the server is
+/// just fully used, and faster after a second without refusals. Load pattern: demand above the
+/// capacity for seconds that ends at once; with call chains, a queue that stays short enough to
+/// refuse hardly any call, while the runs above, each of which waits in it several times, fill
+/// their servers.
 class ShedController {
 public:
   ShedController();
@@ -57,10 +60,12 @@
   /// region without recent answers counts as not overloaded.
   /// \param Answering region of the server that answered.
   /// \param Choices regions with servers that the request may use.
+  /// \param CalleeLevel part of Level that is of the services that the server calls. It applies in
+  /// all regions, because those services are not in the region of the server that answered.
   /// \return the level that applies to the request.
   ShedLevel reportOf(TimePoint Now, const ServiceId &Service, ShedLevel Level,
                      const AllowedRegions &Regions, const RegionId &Answering,
-                     const std::set<RegionId> &Choices);
+                     const std::set<RegionId> &Choices, ShedLevel CalleeLevel = 0.0);
   /// Returns the level of a service; 0 if there is no report.
   ShedLevel of(TimePoint Now, const ServiceId &Service,
                const AllowedRegions &Regions = std::nullopt) const;
@@ -75,11 +80,16 @@
 
   using RegionKey = std::pair<ServiceId, std::set<RegionId>>;
 
+  using Entries = std::unordered_map<ServiceId, Entry>;
+
   static ShedLevel decayed(TimePoint Now, const Entry &Item);
+  static ShedLevel find(TimePoint Now, const Entries &Items, const ServiceId &Service);
+  static void update(TimePoint Now, Entry &Item, ShedLevel Level);
   /// Returns the entry of a key; a new one replaces those that have decayed.
   Entry &entryOf(TimePoint Now, const ServiceId &Service, const AllowedRegions &Regions);
 
-  std::unordered_map<ServiceId, Entry> Entries_;
+  Entries Entries_;
+  Entries CalleeEntries_; ///< of the services that a service calls, by the calling service
   std::map<RegionKey, Entry> RegionEntries_;
 };
 
--- a/src/engine/shed_level.cpp
+++ b/src/engine/shed_level.cpp
@@ -55,6 +55,17 @@
   return Item.Level_ * std::exp2(-std::max(0.0, Age) / HalfLifeSeconds);
 }
 
+ShedLevel ShedTable::find(TimePoint Now, const Entries &Items, const ServiceId &Service) {
+  const auto Found = Items.find(Service);
+  return Found == Items.end() ? 0.0 : decayed(Now, Found->second);
+}
+
+void ShedTable::update(TimePoint Now, Entry &Item, ShedLevel Level) {
+  Item.Level_ = decayed(Now, Item);
+  Item.Level_ += ReportWeight * (Level - Item.Level_);
+  Item.Updated_ = Now;
+}
+
 ShedTable::Entry &ShedTable::entryOf(TimePoint Now, const ServiceId &Service,
                                      const AllowedRegions &Regions) {
   if (!Regions)
@@ -71,15 +82,13 @@
 
 void ShedTable::report(TimePoint Now, const ServiceId &Service, ShedLevel Level,
                        const AllowedRegions &Regions) {
-  Entry &Item = entryOf(Now, Service, Regions);
-  Item.Level_ = decayed(Now, Item);
-  Item.Level_ += ReportWeight * (Level - Item.Level_);
-  Item.Updated_ = Now;
+  update(Now, entryOf(Now, Service, Regions), Level);
 }
 
 ShedLevel ShedTable::reportOf(TimePoint Now, const ServiceId &Service, ShedLevel Level,
                               const AllowedRegions &Regions, const RegionId &Answering,
-                              const std::set<RegionId> &Choices) {
+                              const std::set<RegionId> &Choices, ShedLevel CalleeLevel) {
+  update(Now, CalleeEntries_[Service], CalleeLevel);
   const AllowedRegions Own(std::in_place, {Answering});
   report(Now, Service, Level, Own);
   if (Regions == Own)
@@ -87,17 +96,16 @@
   for (const RegionId &Region : Choices)
     Level = std::min(Level, of(Now, Service, AllowedRegions(std::in_place, {Region})));
   report(Now, Service, Level, Regions);
-  return Level;
+  return std::max(Level, CalleeLevel);
 }
 
 ShedLevel ShedTable::of(TimePoint Now, const ServiceId &Service,
                         const AllowedRegions &Regions) const {
-  if (Regions) {
-    const auto Found = RegionEntries_.find({Service, *Regions});
-    return Found == RegionEntries_.end() ? 0.0 : decayed(Now, Found->second);
-  }
-  const auto Found = Entries_.find(Service);
-  return Found == Entries_.end() ? 0.0 : decayed(Now, Found->second);
+  const ShedLevel Callees = find(Now, CalleeEntries_, Service);
+  if (!Regions)
+    return std::max(Callees, find(Now, Entries_, Service));
+  const auto Found = RegionEntries_.find({Service, *Regions});
+  return std::max(Callees, Found == RegionEntries_.end() ? 0.0 : decayed(Now, Found->second));
 }
 
 ShedLevel ShedTable::highest(TimePoint Now) const {
--- a/src/mesh/backend_gate.cpp
+++ b/src/mesh/backend_gate.cpp
@@ -115,7 +115,8 @@
   Result.Limit_ = limit();
   Result.ServiceTime_ = std::chrono::microseconds(static_cast<std::int64_t>(MeanSeconds_ * 1e6));
   Result.MakesCalls_ = makesCalls();
-  Result.Shed_ = std::max(shedLevel(), DownstreamLevels_.highest(now()));
+  Result.CalleeShed_ = DownstreamLevels_.highest(now());
+  Result.Shed_ = std::max(shedLevel(), Result.CalleeShed_);
   Result.Rate_ = Limits_.rate(now()).value_or(0.0);
   Result.RateWait_ = Limits_.timeUntil(now(), Queue_.size() + 1);
   Result.Failing_ = Failures_.share(now());
--- a/src/mesh/entry.cpp
+++ b/src/mesh/entry.cpp
@@ -462,20 +462,21 @@
 
 // The level of a server does not tell which of its requests fill it. Those that may run elsewhere
 // are refused only if all regions are full in which they may run.
-ShedLevel Entry::noteShedLevel(const Call &Outgoing, const std::string &Server, ShedLevel Level) {
+ShedLevel Entry::noteShedLevel(const Call &Outgoing, const std::string &Server,
+                               const BackendLoad &Load) {
   const ServerScope Scope = scopeOf(Outgoing);
   const bool HasRegions = Scope.Regions_ || Env_.Fleet_.regions().isRestricting();
   const BackendServer *Answering = HasRegions ? Env_.Fleet_.servers().find(Server) : nullptr;
   if (Answering == nullptr) {
-    Shed_.report(now(), Outgoing.Service_, Level, Scope.Regions_);
-    return Level;
+    Shed_.report(now(), Outgoing.Service_, Load.Shed_, Scope.Regions_);
+    return Load.Shed_;
   }
   std::set<RegionId> Choices;
   for (const BackendServer *Other : Env_.Fleet_.servers().findByService(Outgoing.Service_))
     if (Choice_.mayUse(*Other, Scope))
       Choices.insert(Choice_.regionOf(*Other));
-  return Shed_.reportOf(now(), Outgoing.Service_, Level, Scope.Regions_,
-                        Choice_.regionOf(*Answering), Choices);
+  return Shed_.reportOf(now(), Outgoing.Service_, Load.Shed_, Scope.Regions_,
+                        Choice_.regionOf(*Answering), Choices, Load.CalleeShed_);
 }
 
 void Entry::noteLoad(const Call &Outgoing, const std::string &Server, const BackendLoad &Load) {
@@ -486,7 +487,7 @@
   if (Load.Rate_ > 0.0 &&
       Choice_.hasUnlimited(Env_.Fleet_.servers(), Outgoing.Service_, scopeOf(Outgoing)))
     return;
-  const ShedLevel Level = noteShedLevel(Outgoing, Server, Load.Shed_);
+  const ShedLevel Level = noteShedLevel(Outgoing, Server, Load);
   // The level that this node reports to callers concerns all requests of its server, so it must not
   // rise with a region that only some of them need.
   if (Outgoing.Team_.empty() && !scopeOf(Outgoing).Regions_)
--- a/src/mesh/entry.h
+++ b/src/mesh/entry.h
@@ -143,7 +143,7 @@
   /// Takes over the load that the node of a server reported with an answer.
   void noteLoad(const Call &Outgoing, const std::string &Server, const BackendLoad &Load);
   /// Records the shed level of an answer and returns the one that applies to requests like it.
-  ShedLevel noteShedLevel(const Call &Outgoing, const std::string &Server, ShedLevel Level);
+  ShedLevel noteShedLevel(const Call &Outgoing, const std::string &Server, const BackendLoad &Load);
   double expectedBytes(const Call &Outgoing) const;
   void noteBytes(const Call &Outgoing, const Answer &Result);
 
--- a/src/node/codec_call.cpp
+++ b/src/node/codec_call.cpp
@@ -91,7 +91,8 @@
   const unsigned Failing = encodeShare(In.Failing_);
   const auto Pace =
       static_cast<unsigned>(std::lround(std::clamp(In.Pace_, 0.0, MaxPace) * ShareUnits));
-  const bool HasPace = Pace != ShareUnits;
+  const auto CalleeShed = static_cast<unsigned>(In.CalleeShed_ * ShedUnits);
+  const bool HasPace = Pace != ShareUnits || CalleeShed != 0;
   if (In.Rate_ > 0.0 || Failing != 0 || HasPace) {
     Out.push_back(In.Rate_);
     Out.push_back(In.RateWait_.count());
@@ -100,6 +101,8 @@
     Out.push_back(Failing);
   if (HasPace)
     Out.push_back(Pace);
+  if (CalleeShed != 0)
+    Out.push_back(CalleeShed);
 }
 
 void from_json(const json &In, BackendLoad &Out) {
@@ -117,6 +120,8 @@
     Out.Failing_ = decodeShare(In.at(8));
   if (In.size() > 9)
     Out.Pace_ = std::min(In.at(9).get<unsigned>() / ShareUnits, MaxPace);
+  if (In.size() > 10)
+    Out.CalleeShed_ = In.at(10).get<unsigned>() / ShedUnits;
 }
 
 void to_json(json &Out, const ServerFailure &In) {
--- a/tests/unit/codec_call_test.cpp
+++ b/tests/unit/codec_call_test.cpp
@@ -103,14 +103,17 @@
 TEST_CASE("codec_answer_carries_pace_and_room") {
   Answer Sent;
   Sent.Load_.Pace_ = 1.5;
+  Sent.Load_.CalleeShed_ = 0.5;
   RouteState State;
   State.Class_ = ClassId("c");
   State.Room_ = 0.25;
   Sent.Routes_ = {State};
   const auto Received = json(Sent).get<Answer>();
   CHECK(Received.Load_.Pace_ == Approx(1.5));
+  CHECK(Received.Load_.CalleeShed_ == Approx(0.5));
   REQUIRE(Received.Routes_.size() == 1);
   CHECK(Received.Routes_[0].Room_ == Approx(0.25));
   const auto Plain = json(Answer()).get<Answer>();
   CHECK(Plain.Load_.Pace_ == 1.0);
+  CHECK(Plain.Load_.CalleeShed_ == 0.0);
 }
--- a/tests/unit/shed_level_test.cpp
+++ b/tests/unit/shed_level_test.cpp
@@ -83,3 +83,21 @@
     Table.reportOf(Now, Service, 2.0, std::nullopt, West, {East, West});
   CHECK(Table.of(Now, Service) > 1.9);
 }
+
+// Guards against an overload further down the chain that no entry notices: each node calls only
+// servers of its own region, and a region without answers counts as not overloaded.
+TEST_CASE("shed_table_called_service_is_full_level_holds_whatever_region_answers") {
+  ShedTable Table;
+  const TimePoint Now(std::chrono::seconds(100));
+  const ServiceId Service("a");
+  const RegionId East("east");
+  const RegionId West("west");
+  for (int Number = 0; Number < 50; ++Number)
+    CHECK(Table.reportOf(Now, Service, 2.0, std::nullopt, East, {East, West}, 1.5) >= 1.5);
+  CHECK(Table.of(Now, Service) == Approx(1.5).margin(0.1));
+  CHECK(Table.of(Now, Service, AllowedRegions(std::in_place, {West})) == Approx(1.5).margin(0.1));
+  CHECK(Table.of(Now, Service, AllowedRegions(std::in_place, {East})) > 1.9);
+  for (int Number = 0; Number < 50; ++Number)
+    Table.reportOf(Now, Service, 0.0, std::nullopt, East, {East, West}, 0.0);
+  CHECK(Table.of(Now, Service) < 0.1);
+}
