Raise the shed level for a standing queue of calls between servers

Hardly any was refused, so the level hardly rose; but each run above makes four of these calls one after the other, so requests took 0.8 to 1.7 s, filled the slots of the services above, and failed there. A queue in which all calls of 100 ms wait for longer than the server takes for a call now counts like a small share of refusals. Only calls of other servers count; what waits for a limit does not.

--- a/include/bronzestand/shed_level.h
+++ b/include/bronzestand/shed_level.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <unordered_map>
 #include <utility>
@@ -34,13 +35,19 @@
 
   void offered() { ++Offered_; }
   void refused() { ++Refused_; }
-  /// Call every 100 ms.
-  void tick();
+  /// Records that a call of another backend server has left the queue for the server.
+  void waited(Duration Time);
+  /// Call every 100 ms. \param ServiceTime mean time of a call at the server.
+  void tick(Duration ServiceTime = Duration::zero());
   ShedLevel level() const { return Level_; }
 
 private:
+  /// Returns the share of refusals to which the shortest wait since the last tick corresponds.
+  double standingShare(Duration ServiceTime) const;
+
   std::uint32_t Offered_ = 0;
   std::uint32_t Refused_ = 0;
+  std::optional<Duration> ShortestWait_; ///< since the last tick
   ShedLevel Level_ = 0.0;
   ShedLevel Fall_; ///< by which the level falls at the next tick without refusals
 };
--- a/src/engine/shed_level.cpp
+++ b/src/engine/shed_level.cpp
@@ -17,6 +17,10 @@
 /// normal refusals.
 constexpr double RiseGain = 0.25;
 constexpr double FallPerTick = 0.015;
+/// A queue in which all calls of a tick wait for longer than the server takes for a call does not
+/// smooth a burst but only delays. Share of refusals to which it corresponds if they wait for twice
+/// that time or longer; small, because the effect shows only after the runs above have ended.
+constexpr double MaxStandingShare = 0.12;
 /// Factor on the fall for each further such tick in a row. In an overload refusals follow within a
 /// few ticks, so a longer row means that it is over.
 constexpr double FallFactor = 1.6;
@@ -37,9 +41,23 @@
 
 ShedController::ShedController() : Fall_(FallPerTick) {}
 
-void ShedController::tick() {
-  const double Share = Offered_ == 0 ? 0.0 : static_cast<double>(Refused_) / Offered_;
+void ShedController::waited(Duration Time) {
+  ShortestWait_ = ShortestWait_ ? std::min(*ShortestWait_, Time) : Time;
+}
+
+double ShedController::standingShare(Duration ServiceTime) const {
+  if (!ShortestWait_ || ServiceTime <= Duration::zero())
+    return 0.0;
+  const double Excess = static_cast<double>((*ShortestWait_ - ServiceTime).count()) /
+                        static_cast<double>(ServiceTime.count());
+  return MaxStandingShare * std::clamp(Excess, 0.0, 1.0);
+}
+
+void ShedController::tick(Duration ServiceTime) {
+  const double RefusedShare = Offered_ == 0 ? 0.0 : static_cast<double>(Refused_) / Offered_;
+  const double Share = std::max(RefusedShare, standingShare(ServiceTime));
   Offered_ = Refused_ = 0;
+  ShortestWait_.reset();
   if (Share > NormalRefusals) {
     Level_ += RiseGain * Share;
     Fall_ = FallPerTick;
--- a/src/mesh/backend_gate.cpp
+++ b/src/mesh/backend_gate.cpp
@@ -352,6 +352,9 @@
   }
   const TimePoint Now = now();
   const Duration Left = Current.Deadline_ - Now;
+  // A call that waits for a limit says nothing of the load.
+  if (Current.Call_.Team_.empty() && !Limits_.rate(Now))
+    Shed_.waited(Now - Current.Arrived_);
   Limits_.sent(Now);
   Current.SentAt_ = Now;
   Current.AtServer_ = true;
@@ -675,7 +678,7 @@
 }
 
 void BackendGate::tick(TimePoint Now) {
-  Shed_.tick();
+  Shed_.tick(std::chrono::microseconds(static_cast<std::int64_t>(MeanSeconds_ * 1e6)));
   ColdShed_.tick();
   Temperature_.tick(Now);
   WasListed_ = WasListed_ || Fleet_.ownServer() != nullptr;
--- a/tests/unit/shed_level_test.cpp
+++ b/tests/unit/shed_level_test.cpp
@@ -101,3 +101,27 @@
     Table.reportOf(Now, Service, 0.0, std::nullopt, East, {East, West}, 0.0);
   CHECK(Table.of(Now, Service) < 0.1);
 }
+
+// Guards against a queue in which calls of other servers wait for so short a time that none is
+// refused, while the runs above wait in it again and again and fill their own servers.
+TEST_CASE("shed_controller_standing_queue_raises_level_without_refusals") {
+  constexpr Duration ServiceTime = std::chrono::milliseconds(33);
+  ShedController Controller;
+  const auto Run = [&](int Ticks, Duration Shortest) {
+    for (int Tick = 0; Tick < Ticks; ++Tick) {
+      for (int Number = 0; Number < 40; ++Number) {
+        Controller.offered();
+        Controller.waited(Shortest + Number * ServiceTime / 10);
+      }
+      Controller.tick(ServiceTime);
+    }
+  };
+  Run(20, 4 * ServiceTime);
+  CHECK(Controller.level() > 0.5);
+  Run(10, Duration::zero());
+  CHECK(Controller.level() == 0.0);
+  // A burst, in which some calls find the queue empty, and a short queue say nothing.
+  Run(20, Duration::zero());
+  Run(20, ServiceTime);
+  CHECK(Controller.level() == 0.0);
+}
