Do not give the parser less than a last chunk

Its assertion for the last chunk of a body holds only if five bytes of it are there. A caller that sends "0\r\n" and then single bytes ended the process in builds with assertions (Debug); others were not affected. The reader now waits for five bytes, which every body in chunks still lacks while it is not whole.

--- a/src/node/http_request_reader.cpp
+++ b/src/node/http_request_reader.cpp
@@ -23,6 +23,9 @@
 constexpr std::size_t BodyPieceBytes = 32UL * 1024;
 /// A buffer with more than this is returned between two requests.
 constexpr std::size_t KeptBufferBytes = HeadPieceBytes;
+/// Least size of a last chunk, which every body in chunks still lacks while it is not whole. The
+/// parser asserts that it has as many bytes of it.
+constexpr std::size_t LastChunkBytes = 5;
 /// Memory of a field in the parser beside its text: links, offsets and the block of the allocator.
 constexpr std::size_t FieldOverheadBytes = 96;
 
@@ -59,7 +62,8 @@
       Parser_->get().clear(); // trailers
       return Step::Whole;
     }
-    if (Buffer_.size() == 0)
+    const bool InChunks = HeadTaken_ && Parser_->chunked();
+    if (Buffer_.size() < (InChunks ? LastChunkBytes : 1))
       return Step::NeedMore;
     const std::size_t Used = Parser_->put(Buffer_.data(), Failure);
     if (!HeadTaken_)
