--- a/tests/fuzz/main.cpp
+++ b/tests/fuzz/main.cpp
@@ -40,13 +40,14 @@
 enum ExitCode { Passed = 0, Found = 1, UsageInvalid = 2, Failed = 3 };
 
 std::vector<std::string> readCorpus(const std::filesystem::path &Directory) {
-  std::map<std::string, std::string>
-      Files; // by name, so that rounds don't depend on the file system
+  // By name, so that rounds don't depend on the file system.
+  std::map<std::string, std::string> Files;
   for (const auto &Entry : std::filesystem::directory_iterator(Directory)) {
     std::ifstream In(Entry.path(), std::ios::binary);
     Files[Entry.path().filename().string()] = {std::istreambuf_iterator<char>(In), {}};
   }
   std::vector<std::string> Result;
+  Result.reserve(Files.size());
   for (auto &[Name, Text] : Files)
     Result.push_back(std::move(Text));
   if (Result.empty())
