--- a/include/bronzestand/cold_limit.h
+++ b/include/bronzestand/cold_limit.h
@@ -81,8 +81,8 @@
 private:
   enum class Proof { None, Cold, Warm };
 
-  /// First failed health requests in a row that are repeated at once, as they may be those of single
-  /// connections.
+  /// First failed health requests in a row that are repeated at once, as they may be those of
+  /// single connections.
   static constexpr std::uint32_t QuickRetries = 3;
 
   bool isLimiting(TimePoint Now) const;
--- a/tests/unit/mesh_withdrawn_key_test.cpp
+++ b/tests/unit/mesh_withdrawn_key_test.cpp
@@ -29,8 +29,10 @@
   /// Sends first attempts that earn retries at a node.
   void earnRetries() {
     REQUIRE(runUntil([&] { return call(0, "/safe/first")->status() == 200; }));
+    constexpr int Count = 200;
     std::vector<ReplyPtr> Earlier;
-    for (int Number = 0; Number < 200; ++Number)
+    Earlier.reserve(Count);
+    for (int Number = 0; Number < Count; ++Number)
       Earlier.push_back(sendTo(0, "/safe/" + std::to_string(Number)));
     REQUIRE(runUntil([&] {
       return std::all_of(Earlier.begin(), Earlier.end(),
