--- a/tests/unit/codec_call_test.cpp
+++ b/tests/unit/codec_call_test.cpp
@@ -114,3 +114,16 @@
   const auto Plain = json(Answer()).get<Answer>();
   CHECK(Plain.Load_.Pace_ == 1.0);
 }
+
+// Guards against nodes that measure a room of their own while others know that servers are full,
+// and against states that earlier builds do not send.
+TEST_CASE("codec_route_state_servers_are_full_is_carried") {
+  RouteState State;
+  State.Class_ = ClassId("c");
+  State.Room_ = 0.25;
+  State.Limit_ = ClassId("d");
+  CHECK_FALSE(json(State).get<RouteState>().Full_);
+  CHECK(json(State).size() == 9);
+  State.Full_ = true;
+  CHECK(json(State).get<RouteState>().Full_);
+}
