End the limit of full servers when demand falls or nobody calls them

The share rose only while the calls used it, so that with less demand a part of the requests would have been refused for ever. It rises now too once a row of accepted calls ended the degradation.

--- a/src/engine/room_meter.cpp
+++ b/src/engine/room_meter.cpp
@@ -235,8 +235,9 @@
     Item.Taken_ += FollowPart * (Served - Item.Taken_);
   if (Item.AcceptedInRow_ >= FreeRow && Served >= NearlyAll * Item.Taken_)
     Item.Capacity_ *= FreeGrowth;
-  // A share that is not used yet does not show that a larger one is accepted.
-  else if (Rejected > Aimed || Served >= NearlyAll * Item.Capacity_)
+  // A share that is not used yet does not show that a larger one is accepted, but demand may have
+  // fallen.
+  else if (Rejected > Aimed || Served >= NearlyAll * Item.Capacity_ || !Item.Degraded_)
     Item.Capacity_ *= 1.0 + Gain * (Aimed - Rejected);
   const bool IsRefuted = IsOverloaded && Item.Capacity_ < RefutedPart * Item.FirstCapacity_;
   if (Item.Capacity_ < 1.0 && !IsRefuted)
@@ -252,6 +253,12 @@
   if (Found == Entries_.end() || Found->second.DegradedAt_ == TimePoint())
     return {};
   Entry &Item = Found->second;
+  if (Now - Item.ArrivedAt_ > MaxSilence) {
+    if (std::exchange(Item.Degraded_, false) || std::exchange(Item.Full_, false))
+      Item.EndedAt_ = Now;
+    Item.Full_ = false;
+    return {};
+  }
   updateCapacity(Now, Item, Retries, Known);
   if (Item.Full_) {
     Item.EndedAt_ = Now;
@@ -259,11 +266,6 @@
   }
   if (!Item.Degraded_)
     return {};
-  if (Now - Item.ArrivedAt_ > MaxSilence) {
-    Item.Degraded_ = false;
-    Item.EndedAt_ = Now;
-    return {};
-  }
   Item.Reference_ = std::max(Item.Recent_.rate(Now),
                              Item.Reference_ * decay(Now - Item.ReferenceAt_, ReferenceHalfLifeS));
   // Requests that were admitted by the shares told until now will still need retries.
--- a/tests/unit/room_meter_test.cpp
+++ b/tests/unit/room_meter_test.cpp
@@ -29,6 +29,19 @@
       Rooms_.arrived(Now_, Service, std::uniform_real_distribution<double>()(Random_) >= Rejected);
     }
   }
+
+  /// Makes calls to servers that take a constant number per second, while retries raise what
+  /// arrives.
+  RoomMeter::Room callFull() {
+    constexpr double TakenPerSecond = 0.4 * PerSecond;
+    call(10s, 0.0);
+    RoomMeter::Room Result;
+    for (const int Arriving : {PerSecond, 3 * PerSecond, 6 * PerSecond, 6 * PerSecond}) {
+      call(400ms, 1.0 - TakenPerSecond / Arriving, Arriving, false);
+      Result = Rooms_.room(Now_, Service, 10.0 * PerSecond);
+    }
+    return Result;
+  }
 };
 
 } // namespace
@@ -75,18 +88,29 @@
 // retries that are left instead of the calls that full servers take.
 TEST_CASE_METHOD(CallerFixture,
                  "room_meter_more_arrive_and_no_more_are_accepted_servers_are_full") {
-  constexpr double TakenPerSecond = 0.4 * PerSecond;
-  call(10s, 0.0);
-  RoomMeter::Room Room;
-  for (const int Arriving : {PerSecond, 3 * PerSecond, 6 * PerSecond, 6 * PerSecond}) {
-    call(400ms, 1.0 - TakenPerSecond / Arriving, Arriving, false);
-    Room = Rooms_.room(Now_, Service, 10.0 * PerSecond);
-  }
+  const RoomMeter::Room Room = callFull();
   CHECK(Room.Full_);
   CHECK(Room.Share_ == Approx(0.4).margin(0.1));
   CHECK_FALSE(Rooms_.gainsByRetries(Now_, Service));
 }
 
+// Guards against requests that are refused for ever because demand fell while servers were full, so
+// that no more calls show that they take all.
+TEST_CASE_METHOD(CallerFixture, "room_meter_demand_falls_while_servers_are_full_limit_ends") {
+  REQUIRE(callFull().Full_);
+  const int Rate = GENERATE(PerSecond / 10, 0);
+  RoomMeter::Room Room;
+  for (const TimePoint End = Now_ + 10s; Now_ < End;) {
+    if (Rate == 0)
+      Now_ += 100ms;
+    else
+      call(100ms, 0.0, Rate);
+    Room = Rooms_.room(Now_, Service, 10.0 * PerSecond);
+  }
+  CHECK_FALSE(Room.Full_);
+  CHECK(Room.Share_ == 1.0);
+}
+
 // Guards against servers that count as full although they reject a share of what arrives.
 TEST_CASE_METHOD(CallerFixture,
                  "room_meter_more_arrive_and_as_large_a_share_is_accepted_not_full") {
