--- a/review/standins-2/world.hh
+++ b/review/standins-2/world.hh
@@ -192,6 +192,12 @@
   bool TimedOut_ = false;
 };
 
+inline std::string hexOf(std::size_t Value) {
+  char Text[20];
+  std::snprintf(Text, sizeof(Text), "%zx", Value);
+  return Text;
+}
+
 inline std::string base64(const std::string &In) {
   static const char *Digits = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
   std::string Out;
@@ -409,6 +415,9 @@
   /// Called with each answer before it is sent; returns whether a copy of it follows, late: at the
   /// point where the next answer on the connection is expected.
   std::function<bool(const Message &Request, int Status)> CopiesLate_;
+  /// Called with each request that has run; if it returns lines, the answer has chunks and ends
+  /// with these lines as its trailer.
+  std::function<std::string(const Message &Request)> Trailer_;
   /// Called with each request that runs.
   std::function<void(const Backend &Self, const Message &Request)> OnRun_;
   std::atomic<int> Answers_{0};
@@ -443,10 +452,15 @@
         sleepFor(isStarting() ? std::max(WorkS_, StartingWorkS_) : WorkS_);
         std::string Body = "served " + Request_;
         Body.resize(std::max(Body.size(), BodyBytes_), '.');
+        const std::string Trailer = Trailer_ ? Trailer_(Request) : "";
         Answer = "HTTP/1.1 200 OK\r\nRequest-Id: " + Request_ + "\r\nServer-Signature: " + Id_ +
-                 ".1\r\nInstance-Load: 1,0," + std::to_string(Slots_) +
-                 "\r\nContent-Length: " + std::to_string(Body.size()) + "\r\n\r\n" +
-                 (Request.method() == "HEAD" ? "" : Body);
+                 ".1\r\nInstance-Load: 1,0," + std::to_string(Slots_) + "\r\n";
+        if (Trailer.empty())
+          Answer += "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" +
+                    (Request.method() == "HEAD" ? "" : Body);
+        else
+          Answer += "Transfer-Encoding: chunked\r\n\r\n" + hexOf(Body.size()) + "\r\n" + Body +
+                    "\r\n0\r\n" + Trailer + "\r\n";
       }
       ++Answers_;
       if (CopiesLate_ && CopiesLate_(Request, Status)) {
