--- a/review/standins-2/long_field.cc
+++ b/review/standins-2/long_field.cc
@@ -26,11 +26,12 @@
 } // namespace
 
 int main(int Count, char **Words) {
-  if (Count != 3)
+  if (Count != 4)
     return 2;
   const std::string Folder = Words[1];
   record().open(Words[2]);
-  const bool Trouble = environment("TROUBLE", "1") != "0";
+  const bool Trouble = std::string(Words[3]) != "0";
+  record().line(Trouble ? "with the disruption" : "without the disruption (TROUBLE=0)");
   const std::size_t FieldBytes = Trouble ? 66000 : 60000;
 
   const std::vector<std::string> Ips{"127.43.1.1", "127.43.2.1"};
