--- a/review/standins-2/refused_head.cc
+++ b/review/standins-2/refused_head.cc
@@ -5,11 +5,12 @@
 using namespace review;
 
 int main(int Count, char **Words) {
-  if (Count != 3)
+  if (Count != 4)
     return 2;
   const std::string Folder = Words[1];
   record().open(Words[2]);
-  const bool Trouble = environment("TROUBLE", "1") != "0";
+  const bool Trouble = std::string(Words[3]) != "0";
+  record().line(Trouble ? "with the disruption" : "without the disruption (TROUBLE=0)");
   const double UsualPerS = 10.0;
   const double TimesUsual = 7.5;
   const double TroubleS = 6.5;
