--- a/review/standins-2/long_trailer.cc
+++ b/review/standins-2/long_trailer.cc
@@ -6,11 +6,12 @@
 using namespace review;
 
 int main(int Count, char **Words) {
-  if (Count != 3)
+  if (Count != 4)
     return 2;
   const std::string Folder = Words[1];
   record().open(Words[2]);
-  const bool Trouble = environment("TROUBLE", "1") != "0";
+  const bool Trouble = std::string(Words[3]) != "0";
+  record().line(Trouble ? "with the disruption" : "without the disruption (TROUBLE=0)");
   const double TroubleS = 5.0;
   const double SpoiltShare = 0.02;
   const std::size_t TrailerBytes = 66000;
