Give up an answer without a length that a reset ends during the upload

What callers saw: a server answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the request was still being written. The caller got that part as a complete answer.

Cause: the system reports a reset once, to the first call that asks. The client writes and reads at the same time. With both pending the write is told (ECONNRESET), its error is ignored because an answer may precede it, and the read then gets the end of the connection, as after an orderly close. Where the server may end answers by closing, HttpClient took that for the end of the body.

Evidence: plain sockets with a full send buffer, the server sends "part" and resets: send() 104 (ECONNRESET), recv() "part", recv() 0; without the send() the second recv() gives 104. If the server shuts down its side before the reset: send() 32 (EPIPE), recv() "part", recv() 0. A trace of the system calls of the test shows the same: sendmsg() ECONNRESET, recvfrom() 0. It also shows why a pause before the reset is needed: without it the read that follows the text is told before the write.

Change: the client remembers that the write failed before the server had closed its side, and an answer that ends with its connection is then lost. A write that fails as broken_pipe does not count: the server closed in order before it reset, so its answer is whole. The write is always told before the read, because Asio performs a pending write before a pending read and runs their handlers in that order. The same holds for a time-out of the connection (ETIMEDOUT).

Ruled out elsewhere: only the gate of MeshNode takes answers that end with their connection. Health requests, store, tools and the other daemon need a length or chunks, and links between nodes have frames.

--- a/src/node/http_client.cpp
+++ b/src/node/http_client.cpp
@@ -172,6 +172,10 @@
   bool HeadSeen_ = false; ///< the head of the current answer
   bool Sent_ = false;
   bool Written_ = false;
+  /// The write failed before the server closed its side. The system reports a reset or a time-out
+  /// once, so a read behind such a write shows the same end as behind an orderly close. After an
+  /// orderly close the write fails as broken_pipe.
+  bool Broken_ = false;
   Clock::time_point Limit_; ///< end of the running request
   Clock::time_point Freed_;
   TimePoint OpenedAt_{};
@@ -184,7 +188,7 @@
   MayWrite_ = std::move(Check);
   Options_ = std::move(Options);
   EchoValue_ = echoValue(Request, Options_);
-  Sent_ = Written_ = false;
+  Sent_ = Written_ = Broken_ = false;
   Foreign_ = Interim_ = 0;
   const std::uint64_t Run = ++Run_;
   Request_.emplace();
@@ -257,11 +261,14 @@
   Sent_ = true;
   // The server may answer before it has read the whole body.
   http::async_write(Socket_, *Request_,
-                    [Self = Ptr(this), Run = Run_, Body = Options_.Body_](error_code, std::size_t) {
+                    [Self = Ptr(this), Run = Run_, Body = Options_.Body_](const error_code &Failure,
+                                                                          std::size_t) {
                       // A failed write shows at the read, behind an answer that the server may have
                       // sent before.
-                      if (Self->Run_ == Run)
+                      if (Self->Run_ == Run) {
                         Self->Written_ = true;
+                        Self->Broken_ = Failure && Failure != asio::error::broken_pipe;
+                      }
                     });
   read();
 }
@@ -307,8 +314,8 @@
     return;
   }
   // Only a length tells a whole body from one that was cut short, unless the server says that it
-  // ends its answers by closing.
-  if (Parser_->need_eof() && !Options_.EndsByClose_)
+  // ends its answers by closing, and has closed.
+  if (Parser_->need_eof() && (!Options_.EndsByClose_ || Broken_))
     finish(HttpResult::Lost);
   else
     onAnswer();
--- a/tests/unit/backend_gate_test.cpp
+++ b/tests/unit/backend_gate_test.cpp
@@ -3,6 +3,7 @@
 #include <boost/algorithm/string/replace.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
 #include "mesh_fixture.h"
@@ -14,11 +15,13 @@
 namespace {
 
 const std::string Host = "127.0.0.2";
+constexpr Duration Pause = std::chrono::milliseconds(30);
 
 /// What the backend server writes for one request; "{id}" stands for the id of the request.
 struct Reply {
   std::string Text_;
-  bool Close_ = false;
+  bool Close_ = false; ///< closes the connection, which resets it if input is unread
+  bool Late_ = false;  ///< with Close_: after a pause, so that the node has read the text
 };
 
 const std::string Served = "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Signature: s1\r\n"
@@ -91,16 +94,23 @@
     boost::replace_all(Item->Output_, "{id}", Id);
     boost::asio::async_write(Item->Socket_, boost::asio::buffer(Item->Output_),
                              [this, Item, Next](boost::system::error_code, std::size_t) {
-                               if (Next.Close_)
+                               if (Next.Close_ && Next.Late_)
+                                 closeLate(Item);
+                               else if (Next.Close_)
                                  Item->Socket_.close();
                                else
                                  serve(Item);
                              });
   }
 
+  void closeLate(const std::shared_ptr<Connection> &Item) {
+    const auto Timer = std::make_shared<boost::asio::steady_timer>(Io_, Pause);
+    Timer->async_wait([Timer, Item](boost::system::error_code) { Item->Socket_.close(); });
+  }
+
   /// Sends requests that must not run twice, at the same time, and returns the statuses of their
   /// answers.
-  std::vector<unsigned> postAll(const std::vector<std::string> &Ids) {
+  std::vector<unsigned> postAll(const std::vector<std::string> &Ids, const std::string &Body = "") {
     node::HttpClient Client(Io_, {Host, CallerPort_}, Ids.size());
     std::vector<unsigned> Statuses;
     for (const std::string &Id : Ids) {
@@ -108,6 +118,7 @@
       Request.Method_ = "POST";
       Request.Target_ = "/w/" + Id;
       Request.Headers_ = {{"Host", "a.example"}, {"Request-Id", Id}, {"Deadline-Ms", "1000"}};
+      Request.Body_ = Body;
       Client.send(std::move(Request), std::chrono::seconds(3),
                   [&](node::HttpResult Result, const node::HttpResponse &Response) {
                     Statuses.push_back(Result == node::HttpResult::Answered ? Response.Status_ : 0);
@@ -116,7 +127,9 @@
     runUntil([&] { return Statuses.size() == Ids.size(); });
     return Statuses;
   }
-  unsigned post(const std::string &Id) { return postAll({Id}).front(); }
+  unsigned post(const std::string &Id, const std::string &Body = "") {
+    return postAll({Id}, Body).front();
+  }
 };
 
 } // namespace
@@ -228,6 +241,21 @@
   CHECK(Requests_ == std::vector<std::string>{"a"});
 }
 
+// Guards against the first part of an answer that callers get as a whole one, because the server
+// reset the connection while the request was still being written.
+TEST_CASE_METHOD(GateFixture, "backend_gate_answer_reset_during_upload_is_unknown") {
+  constexpr std::size_t UploadBytes = 16'000'000; // more than the buffers of a connection take
+  json Config = json::parse(Store_.copy().Items_.at("op/config").first);
+  Config["Version"] = 4;
+  Config["Limits"] = {{"MaxBodyBytes", UploadBytes}};
+  Store_.put("op/config", Config.dump());
+  REQUIRE(runUntil([&] { return versionOf(Host) == 4; }));
+  Replies_ = {
+      {"HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Signature: s\r\n\r\npart", true, true}};
+  CHECK(post("a", std::string(UploadBytes, 'x')) == 502);
+  CHECK(Requests_ == std::vector<std::string>{"a"});
+}
+
 // Guards against a gate that does not read the pace that the server tells, or believes that of an
 // answer which is not the server's.
 TEST_CASE_METHOD(GateFixture, "backend_gate_pace_of_answers_is_told") {
--- a/tests/unit/http_client_fixture.h
+++ b/tests/unit/http_client_fixture.h
@@ -2,6 +2,7 @@
 #define BRONZESTAND_TESTS_HTTP_CLIENT_FIXTURE_H
 
 #include <deque>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -30,6 +31,8 @@
   std::string Endless_ = {}; ///< sent again and again after the text, until the client closes
   bool Reset_ = false;       ///< with Close_: reset the connection instead
   std::string Later_ = {};   ///< written after a pause
+  bool Shutdown_ = false;    ///< with Close_: end the sending side before the connection
+  bool Late_ = false;        ///< with Close_: after a pause, so that the client has read the text
 };
 
 inline std::string answerTo(const std::string &Id, const std::string &Body) {
@@ -77,11 +80,10 @@
           Item->Output_ = Next.Text_;
           boost::asio::async_write(Item->Socket_, boost::asio::buffer(Item->Output_),
                                    [this, Item, Next](boost::system::error_code, std::size_t) {
-                                     if (Next.Reset_)
-                                       Item->Socket_.set_option(
-                                           boost::asio::socket_base::linger(true, 0));
-                                     if (Next.Close_)
-                                       Item->Socket_.close();
+                                     if (Next.Close_ && Next.Late_)
+                                       after(Pause, [this, Item, Next] { end(*Item, Next); });
+                                     else if (Next.Close_)
+                                       end(*Item, Next);
                                      else if (!Next.Endless_.empty())
                                        sendEndless(Item, Next.Endless_);
                                      else if (!Next.Later_.empty())
@@ -91,9 +93,19 @@
                                    });
         });
   }
+  static void end(Connection &Item, const Reply &Next) {
+    if (Next.Shutdown_)
+      Item.Socket_.shutdown(tcp::socket::shutdown_send);
+    if (Next.Reset_)
+      Item.Socket_.set_option(boost::asio::socket_base::linger(true, 0));
+    Item.Socket_.close();
+  }
+  void after(Duration Time, std::function<void()> Action) {
+    const auto Timer = std::make_shared<boost::asio::steady_timer>(Io_, Time);
+    Timer->async_wait([Timer, Action = std::move(Action)](boost::system::error_code) { Action(); });
+  }
   void sendLater(const std::shared_ptr<Connection> &Item, const std::string &Text) {
-    const auto Timer = std::make_shared<boost::asio::steady_timer>(Io_, Pause);
-    Timer->async_wait([this, Timer, Item, Text](boost::system::error_code) {
+    after(Pause, [this, Item, Text] {
       Item->Output_ = Text;
       boost::asio::async_write(
           Item->Socket_, boost::asio::buffer(Item->Output_),
--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -144,6 +144,37 @@
   }
 }
 
+// Guards against the first part of an answer that is taken as whole, because the write of the
+// request is told of the reset that ended it, and the read sees the connection just end.
+TEST_CASE_METHOD(ClientFixture, "client_answer_without_length_reset_during_upload_is_lost") {
+  const std::string Upload(MaxEndlessBytes, 'x');
+  const std::string Body = GENERATE("", "abc");
+  const bool Late = GENERATE(false, true);
+  // A server that closes with input unread resets the connection too.
+  const bool Reset = GENERATE(false, true);
+  INFO("body '" << Body << "' late " << Late << " reset " << Reset);
+  Reply Next{"HTTP/1.1 200 OK\r\nRequest-Id: a\r\n\r\n" + Body, true};
+  Next.Reset_ = Reset;
+  Next.Late_ = Late;
+  Replies_ = {Next};
+  CHECK(request("a", true, Upload).first == HttpResult::Lost);
+}
+
+// Guards against a whole answer that is dropped because its connection ends during the upload.
+TEST_CASE_METHOD(ClientFixture, "client_whole_answer_during_upload_arrives") {
+  const std::string Upload(MaxEndlessBytes, 'x');
+  const bool Late = GENERATE(false, true);
+  const bool Reset = GENERATE(false, true);
+  const bool Stated = GENERATE(false, true);
+  INFO("late " << Late << " reset " << Reset << " length stated " << Stated);
+  Reply Next{Stated ? answerTo("a", "abc") : "HTTP/1.1 200 OK\r\nRequest-Id: a\r\n\r\nabc", true};
+  Next.Reset_ = Reset;
+  Next.Late_ = Late;
+  Next.Shutdown_ = !Stated; // the end of an answer without a length
+  Replies_ = {Next};
+  CHECK(request("a", true, Upload) == std::make_pair(HttpResult::Answered, std::string("abc")));
+}
+
 // Guards against a request that waits for ever on a silent server.
 TEST_CASE_METHOD(ClientFixture, "client_silent_server_times_out") {
   Replies_ = {{""}};
