Drop answers whose head has a folded line

What callers saw: an answer whose head has a line that begins with a blank or a tab was passed on as a sound one. With " X-Extra: 1" behind it the signature became "s X-Extra: 1"; with " Content-Length: 3" the length did not apply as well, and the caller got all that followed as the body. The store's client took pages from such answers, and bronzestandctl showed them.

Cause: the parser of the library reads a line that begins with a blank as line folding and appends it to the value before it, without a trace in the result. RFC 9112, section 5.2, forbids servers to send folded lines and lets a gateway replace such an answer by 502.

Change: HttpClient reads the head itself and examines each line before the parser takes it (FoldDetector); a folded line ends the answer like the other malformed names, which the parser refuses: lost, 502 for the caller. All readers of answers use HttpClient, so the store's client and the tools are covered. Bodies and trailers are not examined.

Evidence: client_answer_with_malformed_field_name_is_lost puts each of seven bytes at three places of three fields, in the first line and in a later one.

--- a/src/node/http_client.cpp
+++ b/src/node/http_client.cpp
@@ -19,6 +19,7 @@
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
 #include "node/answer_budget.h"
+#include "node/answer_head.h"
 #include "node/clock.h"
 
 namespace bronzestand::node {
@@ -42,6 +43,8 @@
 constexpr std::size_t MaxRefusedIds = 16;
 /// Interim answers before a connection is given up.
 constexpr int MaxInterimAnswers = 16;
+/// Read at once at most.
+constexpr std::size_t MaxReadBytes = std::size_t{64} * 1024;
 /// Read at once behind an interim answer, until a version is there.
 constexpr std::size_t InterimReadBytes = 512;
 constexpr std::string_view HttpVersion = "HTTP/1.";
@@ -142,6 +145,8 @@
   void setTimer(Clock::time_point At);
   void write();
   void read();
+  void readHead();
+  void parseHead(std::size_t Added);
   void readSome();
   void onRead(const error_code &Failure);
   /// Tells whether there is room for the answer as far as its size is known; it waits if not.
@@ -160,6 +165,7 @@
   beast::flat_buffer Buffer_{MaxBufferBytes};
   std::optional<http::request<http::span_body<const char>>> Request_;
   std::optional<Parser> Parser_;
+  FoldDetector Fold_; ///< of the current answer
   HttpCallback Callback_;
   HttpClient::MayWrite MayWrite_;
   SendOptions Options_;
@@ -282,7 +288,44 @@
   // The body begins when there is room for it.
   Parser_->eager(false);
   HeadSeen_ = false;
-  readSome();
+  Fold_ = {};
+  if (Buffer_.size() == 0)
+    readHead();
+  else
+    parseHead(Buffer_.size());
+}
+
+// The read of the library takes lines out of the buffer before they can be examined.
+void Connection::readHead() {
+  const std::size_t Size = beast::read_size(Buffer_, MaxReadBytes);
+  if (Size == 0) {
+    finish(HttpResult::Lost);
+    return;
+  }
+  Socket_.async_read_some(Buffer_.prepare(Size), [Self = Ptr(this), Run = Run_](
+                                                     const error_code &Failure, std::size_t Count) {
+    if (Self->Run_ != Run || !Self->Callback_)
+      return;
+    Self->Buffer_.commit(Count);
+    if (Failure)
+      Self->finish(HttpResult::Lost);
+    else
+      Self->parseHead(Count);
+  });
+}
+
+/// \param Added bytes at the end of the buffer that were not examined yet.
+void Connection::parseHead(std::size_t Added) {
+  const std::string_view Bytes(static_cast<const char *>(Buffer_.data().data()), Buffer_.size());
+  error_code Failure;
+  if (Fold_.put(Bytes.substr(Bytes.size() - Added)))
+    Failure = http::error::bad_field;
+  else
+    Buffer_.consume(Parser_->put(Buffer_.data(), Failure));
+  if (Failure == http::error::need_more)
+    readHead();
+  else
+    onRead(Failure);
 }
 
 void Connection::readSome() {
@@ -322,8 +365,6 @@
 }
 
 bool Connection::hasRoom() {
-  if (!Parser_->is_header_done())
-    return true;
   const std::size_t Body = Parser_->get().body().size();
   std::size_t Whole = Buffer_.capacity() + Body;
   if (const auto Length = Parser_->content_length())
@@ -335,7 +376,7 @@
 
 // Bytes behind a head are in the buffer already, and the server may send no more.
 void Connection::readBody() {
-  if (!Parser_->is_header_done() || std::exchange(HeadSeen_, true)) {
+  if (std::exchange(HeadSeen_, true)) {
     readSome();
     return;
   }
--- a/tests/unit/backend_gate_test.cpp
+++ b/tests/unit/backend_gate_test.cpp
@@ -256,6 +256,20 @@
   CHECK(Requests_ == std::vector<std::string>{"a"});
 }
 
+// Guards against an answer that is passed on with a malformed line of its head, or with a body that
+// is not the server's because that line was to state its length.
+TEST_CASE_METHOD(GateFixture, "backend_gate_answer_with_malformed_field_name_is_unknown") {
+  const std::string Line =
+      GENERATE("X Extra: 1", "X-Extra : 1", " X-Extra: 1", "\tX-Extra: 1", "X-\x01: 1", "X-\x7f: 1",
+               "Content-Length : 3", " Content-Length: 3", "Content\x02Length: 3");
+  INFO(Line);
+  Replies_ = {{"HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Signature: s\r\n" + Line +
+                   "\r\n\r\nyes, and more",
+               true}};
+  CHECK(post("a") == 502);
+  CHECK(Requests_ == std::vector<std::string>{"a"});
+}
+
 // Guards against a gate that does not read the pace that the server tells, or believes that of an
 // answer which is not the server's.
 TEST_CASE_METHOD(GateFixture, "backend_gate_pace_of_answers_is_told") {
--- /dev/null
+++ b/tests/unit/broken_answers_test.cpp
@@ -0,0 +1,98 @@
+#include <optional>
+#include <thread>
+#include <vector>
+
+#include <boost/asio/post.hpp>
+#include <catch2/catch.hpp>
+
+#include "ctl/node_page.h"
+#include "http_client_fixture.h"
+#include "store_client.h"
+
+using namespace bronzestand;
+using namespace bronzestand::node;
+
+namespace {
+
+const std::string Page = R"({"items":[],"MorePages":false,"CurrentRev":5})";
+
+/// An answer that no reader may take, although its body is a valid page.
+struct BrokenAnswer {
+  std::string Status_ = "200";
+  std::string Line_; ///< a line of the head
+  bool HasLength_ = true;
+
+  std::string text() const {
+    const std::string Length =
+        HasLength_ ? "Content-Length: " + std::to_string(Page.size()) + "\r\n" : "";
+    return "HTTP/1.1 " + Status_ + " Status\r\nX-Before: 1\r\n" + Line_ + Length + "\r\n" + Page;
+  }
+};
+
+const std::vector<BrokenAnswer> BrokenAnswers = {
+    {"000", "", true},
+    {"999", "", true},
+    {"200", "X Extra: 1\r\n", true},
+    {"200", "X-Extra : 1\r\n", true},
+    {"200", " X-Extra: 1\r\n", true},
+    {"200", std::string("X-\0Extra: 1\r\n", 13), true},
+    {"200",
+     "X-\x01"
+     "Extra: 1\r\n",
+     true},
+    {"200", "Content-Length : 3\r\n", false},
+    {"200", "", false},
+};
+
+/// Sends page requests to a server whose answers are scripted.
+struct StoreAnswersFixture : ClientFixture {
+  platform::StoreClient Store_{Io_, {"127.0.0.1", Acceptor_.local_endpoint().port()}};
+
+  platform::ReadResult read(const std::string &Text) {
+    Replies_ = {{Text, true}};
+    std::optional<platform::ReadResult> End;
+    Store_.readPage("", [&End](platform::ReadResult Result, const auto &) { End = Result; });
+    while (!End)
+      Io_.run_one();
+    return *End;
+  }
+};
+
+/// The same in a thread of its own, because the tool runs an event loop until it has its page.
+struct ToolAnswersFixture : ClientFixture {
+  ToolAnswersFixture() : Thread_([this] { Io_.run(); }) {}
+  ~ToolAnswersFixture() {
+    Io_.stop();
+    Thread_.join();
+  }
+  ToolAnswersFixture(const ToolAnswersFixture &) = delete;
+  ToolAnswersFixture &operator=(const ToolAnswersFixture &) = delete;
+
+  ctl::NodePage read(const std::string &Text) {
+    boost::asio::post(Io_, [this, Text] { Replies_ = {{Text, true}}; });
+    return ctl::readPage("127.0.0.1:" + std::to_string(Port_), "/state");
+  }
+
+  const std::uint16_t Port_ = Acceptor_.local_endpoint().port();
+  std::thread Thread_;
+};
+
+} // namespace
+
+// Guards against a page of the store that is taken from a broken answer.
+TEST_CASE_METHOD(StoreAnswersFixture, "broken_answers_of_store_are_not_taken") {
+  CHECK(read(BrokenAnswer().text()) == platform::ReadResult::Done);
+  for (const BrokenAnswer &Broken : BrokenAnswers) {
+    INFO(Broken.text());
+    CHECK(read(Broken.text()) == platform::ReadResult::Unreachable);
+  }
+}
+
+// Guards against a tool that shows a broken answer as the page of a node.
+TEST_CASE_METHOD(ToolAnswersFixture, "broken_answers_of_nodes_are_not_shown") {
+  CHECK(read(BrokenAnswer().text()).Code_ == ctl::ExitCode::Ok);
+  for (const BrokenAnswer &Broken : BrokenAnswers) {
+    INFO(Broken.text());
+    CHECK(read(Broken.text()).Code_ == ctl::ExitCode::Unreadable);
+  }
+}
--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -175,6 +175,45 @@
   CHECK(request("a", true, Upload) == std::make_pair(HttpResult::Answered, std::string("abc")));
 }
 
+// Guards against an answer that is passed on with a malformed line of its head, or with a body that
+// ends elsewhere because that line was to state its length.
+TEST_CASE_METHOD(ClientFixture, "client_answer_with_malformed_field_name_is_lost") {
+  const char Byte = GENERATE(' ', '\t', '\0', '\x01', '\x0b', '\x1f', '\x7f');
+  const std::string Field =
+      GENERATE("Content-Length: 3", "Transfer-Encoding: chunked", "X-Extra: 1");
+  const bool First = GENERATE(true, false);
+  const std::string Sound = "Request-Id: a\r\nX-Before: 1\r\n";
+  for (const std::size_t Place : {std::size_t{0}, std::size_t{1}, Field.find(':')}) {
+    std::string Line = Field + "\r\n";
+    Line.insert(Place, 1, Byte);
+    INFO("byte " << static_cast<int>(Byte) << " at " << Place << " of " << Field
+                 << (First ? " in the first line" : " in a later line"));
+    const std::string Head = "HTTP/1.1 200 OK\r\n" + (First ? Line + Sound : Sound + Line);
+    const std::string Text = Head + "\r\nyes, and more";
+    Replies_ = {{Text, true}};
+    CHECK(request("a", true).first == HttpResult::Lost);
+    // The byte comes with the line before it, or after it.
+    for (const std::size_t Split : {Head.size() - Line.size(), Head.size() - Line.size() + 1}) {
+      Replies_ = {{Text.substr(0, Split), false, "", false, Text.substr(Split)}};
+      CHECK(request("a", true).first == HttpResult::Lost);
+    }
+  }
+}
+
+// Guards against a sound answer that is dropped because its head or body looks like a malformed
+// one.
+TEST_CASE_METHOD(ClientFixture, "client_answer_with_blanks_elsewhere_arrives") {
+  const std::string Text = "HTTP/1.1 200 A reason\r\nRequest-Id:\t a \r\nX-Extra:  1\t2 \r\n"
+                           "Content-Length: 18\r\n\r\n one\r\n two\r\n\r\n x:y";
+  for (std::size_t Split = 1; Split < Text.size(); ++Split) {
+    INFO(Text.substr(0, Split));
+    Replies_ = {{Text.substr(0, Split), false, "", false, Text.substr(Split)}};
+    CHECK(request("a", true) ==
+          std::make_pair(HttpResult::Answered, std::string(" one\r\n two\r\n\r\n x:y")));
+  }
+  CHECK(Accepted_ == 1);
+}
+
 // Guards against a request that waits for ever on a silent server.
 TEST_CASE_METHOD(ClientFixture, "client_silent_server_times_out") {
   Replies_ = {{""}};
