Refuse broken answers that other nodes pass on

What callers saw: with a node of an earlier build, or a faulty one, beside the server, the node at the entry wrote whatever that node sent: statuses such as 000 or 999, names of fields with blanks or control bytes, and a value with a line end, which begins a line of its own in the answer to the caller.

Cause: answers were examined only by the node that reads them from the server. Those that arrive on a link were taken as they were decoded.

Change: the decoder of Answer, which all readers of links use, turns a served answer whose status is not 200 to 599, or that has a malformed field, into connection_lost: 502, or another attempt where the request may be repeated. The request may have run, so it is not reported as refused.

Evidence: broken_answers_of_other_nodes_are_unknown has a stand-in for such a node that answers calls over a real link. Before, on x86-64, 14 of its 16 requests failed: all six statuses and all eight fields reached the caller (12 times its HTTP client refused the answer, twice it took the 200). The two sound answers arrived before as well as now. It passes now.

--- a/src/node/answer_head.h
+++ b/src/node/answer_head.h
@@ -3,8 +3,17 @@
 
 #include <string_view>
 
+#include "bronzestand/call.h"
+
 namespace bronzestand::node {
 
+/// Tells whether a status ends a request: 200 to 599.
+bool isFinalStatus(unsigned Status);
+
+/// Tells whether a field has a name and a value that may be sent (RFC 9110, sections 5.1 and 5.5).
+/// Constant time per byte.
+bool isSound(const Header &Field);
+
 /// Finds folded lines in the head of an answer as it arrives, which are lines that begin with a
 /// blank. RFC 9112, section 5.2, forbids servers to send them. The parser of the library appends
 /// such a line to the value before it, so a field whose name begins with a blank would be passed on
--- a/src/node/codec_call.cpp
+++ b/src/node/codec_call.cpp
@@ -6,6 +6,7 @@
 #include "bronzestand/quarantine.h"
 #include "bronzestand/route_health.h"
 #include "bronzestand/server_failures.h"
+#include "node/answer_head.h"
 
 namespace bronzestand {
 namespace {
@@ -44,6 +45,18 @@
   return static_cast<Enum>(Value);
 }
 
+/// A node of an earlier build passes on answers of its server that this one would not.
+void refuseBrokenHead(Answer &Out) {
+  if (Out.Outcome_ != Outcome::Served ||
+      (node::isFinalStatus(Out.HttpStatus_) &&
+       std::all_of(Out.Headers_.begin(), Out.Headers_.end(), node::isSound)))
+    return;
+  Out.Outcome_ = Outcome::Unknown;
+  Out.Refusal_ = Refusal::ConnectionLost;
+  Out.Headers_.clear();
+  Out.Body_.clear();
+}
+
 /// Nodes of earlier builds send the revision alone.
 void decodeKnowledge(const json &In, std::size_t First, Knowledge &Out) {
   In.at(First).get_to(Out.Position_.Revision_);
@@ -283,6 +296,7 @@
     decodeFailures(In.at(15), Out.Failing_);
   if (In.size() > 16)
     Out.Routes_ = decodeRouteStates(In.at(16));
+  refuseBrokenHead(Out);
 }
 
 } // namespace bronzestand
--- a/src/node/http_client.cpp
+++ b/src/node/http_client.cpp
@@ -49,7 +49,6 @@
 constexpr std::size_t InterimReadBytes = 512;
 constexpr std::string_view HttpVersion = "HTTP/1.";
 constexpr unsigned FirstFinalStatus = 200;
-constexpr unsigned LastFinalStatus = 599;
 constexpr unsigned FirstInterimStatus = 100;
 constexpr unsigned SwitchingProtocols = 101;
 /// A kept connection is given up this long before the server's own limit.
@@ -68,10 +67,6 @@
   return std::chrono::seconds(Seconds);
 }
 
-bool isFinalStatus(unsigned Status) {
-  return Status >= FirstFinalStatus && Status <= LastFinalStatus;
-}
-
 /// Tells whether a head without a final status is an interim response of RFC 9110, section 15.2,
 /// behind which the final one follows. A server in trouble may also give its whole answer a status
 /// of 1xx. The two differ in that an interim response has no content and must not state a length or
--- a/tests/unit/broken_answers_test.cpp
+++ b/tests/unit/broken_answers_test.cpp
@@ -7,6 +7,10 @@
 
 #include "ctl/node_page.h"
 #include "http_client_fixture.h"
+#include "mesh_fixture.h"
+#include "node/clock.h"
+#include "node/codec_call.h"
+#include "node/peer_links.h"
 #include "store_client.h"
 
 using namespace bronzestand;
@@ -77,6 +81,35 @@
   std::thread Thread_;
 };
 
+/// A node, and a stand-in for one of an earlier build that answers all calls as it is told.
+struct LinkAnswersFixture : MeshFixture {
+  const std::string Entry_ = "127.0.0.2";
+  const std::string Other_ = "127.0.0.3";
+  const Settings Config_ = settingsOf(Other_);
+  PeerLinks Links_{Io_, Config_, wallMicroseconds()};
+  Answer Next_;
+  int Calls_ = 0;
+
+  LinkAnswersFixture() {
+    Links_.setHandler(MessageKind::Call, [this](const Peer &From, const json &Body) {
+      ++Calls_;
+      Next_.Id_ = Body.get<Call>().Id_;
+      Links_.send(From.Host_, MessageKind::Answer, Next_);
+    });
+    REQUIRE(Links_.start().ok());
+    Next_.Outcome_ = Outcome::Served;
+    Next_.HttpStatus_ = 200;
+    Next_.Headers_ = {{"Server-Signature", "s"}};
+    putServer(Store_, "i-1", Other_);
+    putConfig(Store_, 3, {"/w/"}, "unsafe");
+    startNode(Entry_);
+    REQUIRE(runUntil([&] { return statusOf(Entry_, "/other/") == 404; }));
+  }
+  ~LinkAnswersFixture() { Links_.stop(); }
+  LinkAnswersFixture(const LinkAnswersFixture &) = delete;
+  LinkAnswersFixture &operator=(const LinkAnswersFixture &) = delete;
+};
+
 } // namespace
 
 // Guards against a page of the store that is taken from a broken answer.
@@ -96,3 +129,26 @@
     CHECK(read(Broken.text()).Code_ == ctl::ExitCode::Unreadable);
   }
 }
+
+// Guards against a broken answer that a node of an earlier build passes on, and that reaches the
+// caller because only the node beside the server examines it.
+TEST_CASE_METHOD(LinkAnswersFixture, "broken_answers_of_other_nodes_are_unknown") {
+  CHECK(statusOf(Entry_, "/w/1") == 200);
+  for (const unsigned Status : {0U, 99U, 100U, 199U, 600U, 999U}) {
+    INFO(Status);
+    Next_.HttpStatus_ = Status;
+    CHECK(statusOf(Entry_, "/w/1") == 502);
+  }
+  Next_.HttpStatus_ = 200;
+  for (const Header &Field :
+       {Header{"", "1"}, Header{"X Extra", "1"}, Header{"X-Extra ", "1"}, Header{" X-Extra", "1"},
+        Header{"X-\x01", "1"}, Header{"X:", "1"}, Header{"X-Extra", "1\r\nContent-Length: 0"},
+        Header{"X-Extra", std::string(1, '\0')}}) {
+    INFO(Field.Name_ << ": " << Field.Value_);
+    Next_.Headers_ = {{"Server-Signature", "s"}, Field};
+    CHECK(statusOf(Entry_, "/w/1") == 502);
+  }
+  Next_.Headers_ = {{"Server-Signature", "s"}, {"X-Extra", "a \t\xe9"}};
+  CHECK(statusOf(Entry_, "/w/1") == 200);
+  CHECK(Calls_ == 16);
+}
