Test that malformed heads of a server count as no crash

The gate handled this before: four answers at once with a malformed name or a folded line end as lost connections, the node asks whether the server still listens, and no crash is counted and no request quarantined.

--- a/tests/unit/backend_gate_test.cpp
+++ b/tests/unit/backend_gate_test.cpp
@@ -270,6 +270,21 @@
   CHECK(Requests_ == std::vector<std::string>{"a"});
 }
 
+// Guards against a server that is believed to have crashed, so that its requests are put into
+// quarantine, because it sent several malformed heads at once.
+TEST_CASE_METHOD(GateFixture, "backend_gate_malformed_heads_are_no_crash") {
+  const std::string Line = GENERATE("X Extra: 1", "X-\x01: 1", " X-Extra: 1");
+  INFO(Line);
+  const Reply Odd{"HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Signature: s\r\n" + Line +
+                  "\r\nContent-Length: 3\r\n\r\nyes"};
+  Replies_ = {Odd, Odd, Odd, Odd};
+  CHECK(postAll({"a", "b", "c", "d"}) == std::vector<unsigned>(4, 502));
+  CHECK(Requests_.size() == 4);
+  const json State = stateOf(Host);
+  CHECK(State.at("quarantine").at("crashes") == 0);
+  CHECK(post("e") == 200);
+}
+
 // Guards against a gate that does not read the pace that the server tells, or believes that of an
 // answer which is not the server's.
 TEST_CASE_METHOD(GateFixture, "backend_gate_pace_of_answers_is_told") {
