Give scripted replies in two parts a name

The members of Reply were padded beyond what the linter allows, and a part that is sent later was the fifth of five values at eight places. No test checks anything else than before.

--- a/tests/unit/http_client_fixture.h
+++ b/tests/unit/http_client_fixture.h
@@ -30,11 +30,17 @@
   bool Close_ = false;
   std::string Endless_ = {}; ///< sent again and again after the text, until the client closes
   bool Reset_ = false;       ///< with Close_: reset the connection instead
-  std::string Later_ = {};   ///< written after a pause
   bool Shutdown_ = false;    ///< with Close_: end the sending side before the connection
   bool Late_ = false;        ///< with Close_: after a pause, so that the client has read the text
+  std::string Later_ = {};   ///< written after a pause
 };
 
+inline Reply inTwoParts(std::string First, std::string Second) {
+  Reply Next{std::move(First)};
+  Next.Later_ = std::move(Second);
+  return Next;
+}
+
 inline std::string answerTo(const std::string &Id, const std::string &Body) {
   return "HTTP/1.1 200 OK\r\nRequest-Id: " + Id +
          "\r\nContent-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body;
--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -28,8 +28,8 @@
                                           Copy.find("\r\n\r\n") + 2, Copy.size() - 2, Copy.size());
   INFO("split at " << Split);
   Replies_ = {{answerTo("a", "one")},
-              {Copy.substr(0, Split), false, {}, false, Copy.substr(Split) + answerTo("b", "two")},
-              {answerTo("c", "three"), false, {}, false, answerTo("c", "again")},
+              inTwoParts(Copy.substr(0, Split), Copy.substr(Split) + answerTo("b", "two")),
+              inTwoParts(answerTo("c", "three"), answerTo("c", "again")),
               {answerTo("d", "four")}};
   CHECK(request("a") == std::make_pair(HttpResult::Answered, std::string("one")));
   CHECK(request("b") == std::make_pair(HttpResult::Answered, std::string("two")));
@@ -194,7 +194,7 @@
     CHECK(request("a", true).first == HttpResult::Lost);
     // The byte comes with the line before it, or after it.
     for (const std::size_t Split : {Head.size() - Line.size(), Head.size() - Line.size() + 1}) {
-      Replies_ = {{Text.substr(0, Split), false, "", false, Text.substr(Split)}};
+      Replies_ = {inTwoParts(Text.substr(0, Split), Text.substr(Split))};
       CHECK(request("a", true).first == HttpResult::Lost);
     }
   }
@@ -207,7 +207,7 @@
                            "Content-Length: 18\r\n\r\n one\r\n two\r\n\r\n x:y";
   for (std::size_t Split = 1; Split < Text.size(); ++Split) {
     INFO(Text.substr(0, Split));
-    Replies_ = {{Text.substr(0, Split), false, "", false, Text.substr(Split)}};
+    Replies_ = {inTwoParts(Text.substr(0, Split), Text.substr(Split))};
     CHECK(request("a", true) ==
           std::make_pair(HttpResult::Answered, std::string(" one\r\n two\r\n\r\n x:y")));
   }
@@ -228,11 +228,11 @@
   INFO(Status);
   // The last two state no length, so that their bodies look like the begin of a next answer.
   Replies_ = {{Open + "Content-Length: 3\r\n\r\nyes"},
-              {Open + "Content-Length: 3\r\n\r\n", false, "", false, "yes"},
+              inTwoParts(Open + "Content-Length: 3\r\n\r\n", "yes"),
               {Open + "Content-Length: 0\r\n\r\n"},
               {Open + "Transfer-Encoding: chunked\r\n\r\n3\r\nyes\r\n0\r\n\r\n"},
               {Open + "\r\nyes"},
-              {Open + "\r\n", false, "", false, "HTTPyes"}};
+              inTwoParts(Open + "\r\n", "HTTPyes")};
   const int Cases = static_cast<int>(Replies_.size());
   for (int Number = 0; Number < Cases; ++Number)
     CHECK(request("a").first == HttpResult::Invalid);
@@ -246,8 +246,8 @@
                "HTTP/1.1 199 Other\r\nRequest-Id: a\r\n\r\n");
   const std::string Final = answerTo("a", "one");
   Replies_ = {{Interim + Final},
-              {Interim, false, "", false, Final},
-              {Interim + Final.substr(0, 3), false, "", false, Final.substr(3)},
+              inTwoParts(Interim, Final),
+              inTwoParts(Interim + Final.substr(0, 3), Final.substr(3)),
               {Interim + Interim + Final}};
   for (int Number = 0; Number < 4; ++Number)
     CHECK(request("a") == std::make_pair(HttpResult::Answered, std::string("one")));
