--- a/src/node/http_client.cpp
+++ b/src/node/http_client.cpp
@@ -136,11 +136,14 @@
   using Ptr = boost::intrusive_ptr<Connection>;
   using Clock = std::chrono::steady_clock;
   using Parser = http::response_parser<http::string_body>;
+  /// Goes on after bytes were added at the end of the buffer.
+  using Step = void (Connection::*)(std::size_t Added);
 
   void setTimer(Clock::time_point At);
   void write();
   void read();
   void readHead();
+  void readMore(std::size_t Size, Step Next);
   void parseHead(std::size_t Added);
   void readSome();
   void onRead(const error_code &Failure);
@@ -148,7 +151,7 @@
   bool hasRoom();
   void readBody();
   void onRoom() override;
-  void readAfterInterim();
+  void readAfterInterim(std::size_t Added);
   void onAnswer();
   void finish(HttpResult Result);
   void giveUp() override { finish(HttpResult::Lost); }
@@ -297,7 +300,11 @@
     finish(HttpResult::Lost);
     return;
   }
-  Socket_.async_read_some(Buffer_.prepare(Size), [Self = Ptr(this), Run = Run_](
+  readMore(Size, &Connection::parseHead);
+}
+
+void Connection::readMore(std::size_t Size, Step Next) {
+  Socket_.async_read_some(Buffer_.prepare(Size), [Self = Ptr(this), Run = Run_, Next](
                                                      const error_code &Failure, std::size_t Count) {
     if (Self->Run_ != Run || !Self->Callback_)
       return;
@@ -305,11 +312,10 @@
     if (Failure)
       Self->finish(HttpResult::Lost);
     else
-      Self->parseHead(Count);
+      ((*Self).*Next)(Count);
   });
 }
 
-/// \param Added bytes at the end of the buffer that were not examined yet.
 void Connection::parseHead(std::size_t Added) {
   const std::string_view Bytes(static_cast<const char *>(Buffer_.data().data()), Buffer_.size());
   error_code Failure;
@@ -408,13 +414,13 @@
   if (Foreign_ > MaxForeignAnswers || Interim_ > MaxInterimAnswers || !Parser_->keep_alive())
     finish(HttpResult::Lost);
   else if (Interim)
-    readAfterInterim();
+    readAfterInterim(Buffer_.size());
   else
     read();
 }
 
 // The parser would wait for more bytes while there are fewer than a version has.
-void Connection::readAfterInterim() {
+void Connection::readAfterInterim(std::size_t /*Added*/) {
   if (!beginsStatusLine(Buffer_.data())) {
     finish(HttpResult::Invalid);
     return;
@@ -423,16 +429,7 @@
     read();
     return;
   }
-  Socket_.async_read_some(Buffer_.prepare(InterimReadBytes),
-                          [Self = Ptr(this), Run = Run_](error_code Failure, std::size_t Size) {
-                            if (Self->Run_ != Run || !Self->Callback_)
-                              return;
-                            Self->Buffer_.commit(Size);
-                            if (Failure)
-                              Self->finish(HttpResult::Lost);
-                            else
-                              Self->readAfterInterim();
-                          });
+  readMore(InterimReadBytes, &Connection::readAfterInterim);
 }
 
 void Connection::finish(HttpResult Result) {
