--- a/src/node/http_client.h
+++ b/src/node/http_client.h
@@ -16,7 +16,8 @@
 enum class HttpResult {
   Answered,  ///< the whole response arrived
   NotSent,   ///< no byte of the request was sent
-  Lost,      ///< the connection failed after the request was sent, at least in part
+  Lost,      ///< the connection failed after the request was sent, at least in part, or the bytes
+             ///< that came are no answer
   Invalid,   ///< the server answered with a status that is none; the request may have run
   TimedOut,  ///< no whole response in time
   Cancelled, ///< cancelled by the user of the client
@@ -45,7 +46,8 @@
   bool ProbeWhenSilent_ = false;
   /// Body of the request in place of its own, if not empty; shared with its other holders.
   SharedBody Body_;
-  /// Takes an answer without a length as whole when the server closes the connection.
+  /// Takes an answer without a length as whole when the server closes the connection, but not when
+  /// it resets it.
   bool EndsByClose_ = false;
 };
 
