Name the state of an aborted connection for what it is

Broken_ excluded the error that is named broken_pipe. Aborted_ is the term of TCP for a connection that ends by a reset or a time-out. No behaviour changes.

--- a/src/node/http_client.cpp
+++ b/src/node/http_client.cpp
@@ -176,10 +176,10 @@
   bool HeadSeen_ = false; ///< the head of the current answer
   bool Sent_ = false;
   bool Written_ = false;
-  /// The write failed before the server closed its side. The system reports a reset or a time-out
-  /// once, so a read behind such a write shows the same end as behind an orderly close. After an
-  /// orderly close the write fails as broken_pipe.
-  bool Broken_ = false;
+  /// The write was told that the connection was reset or timed out. The system tells that once, so
+  /// a read behind such a write shows the same end as behind an orderly close. After an orderly
+  /// close the write fails as broken_pipe, which does not count.
+  bool Aborted_ = false;
   Clock::time_point Limit_; ///< end of the running request
   Clock::time_point Freed_;
   TimePoint OpenedAt_{};
@@ -192,7 +192,7 @@
   MayWrite_ = std::move(Check);
   Options_ = std::move(Options);
   EchoValue_ = echoValue(Request, Options_);
-  Sent_ = Written_ = Broken_ = false;
+  Sent_ = Written_ = Aborted_ = false;
   Foreign_ = Interim_ = 0;
   const std::uint64_t Run = ++Run_;
   Request_.emplace();
@@ -271,7 +271,7 @@
                       // sent before.
                       if (Self->Run_ == Run) {
                         Self->Written_ = true;
-                        Self->Broken_ = Failure && Failure != asio::error::broken_pipe;
+                        Self->Aborted_ = Failure && Failure != asio::error::broken_pipe;
                       }
                     });
   read();
@@ -359,7 +359,7 @@
   }
   // Only a length tells a whole body from one that was cut short, unless the server says that it
   // ends its answers by closing, and has closed.
-  if (Parser_->need_eof() && (!Options_.EndsByClose_ || Broken_))
+  if (Parser_->need_eof() && (!Options_.EndsByClose_ || Aborted_))
     finish(HttpResult::Lost);
   else
     onAnswer();
