Test cut answers, all bytes of names and orderly ends on every reader

- Answers that state a length or chunks, or that end in their head, cut during an upload; a store and a node that reset an answer; a link that is reset in the middle of an answer: no part is passed on.
- A sound answer: each byte that a name may have, from a server and over a link; no length and an orderly end while the upload is written, through a whole node, with its whole body.

LinkRelay can reset a connection in the middle of a frame.

--- a/tests/standins/link_relay.h
+++ b/tests/standins/link_relay.h
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <functional>
+#include <limits>
 #include <list>
 #include <memory>
 #include <vector>
@@ -32,11 +33,15 @@
         Resume();
   }
 
+  /// Resets each connection once it has forwarded so many bytes to its opener.
+  void resetAfter(std::size_t Bytes) { MaxBytes_ = Bytes; }
+
 private:
   struct Tunnel {
     explicit Tunnel(boost::asio::io_context &Io) : Ends_{tcp::socket(Io), tcp::socket(Io)} {}
     std::array<tcp::socket, 2> Ends_; ///< towards the opener and the target
     std::array<std::array<char, 16384>, 2> Data_{};
+    std::size_t Returned_ = 0; ///< bytes forwarded to the opener
   };
   using TunnelPtr = std::shared_ptr<Tunnel>;
   using Error = boost::system::error_code;
@@ -80,6 +85,13 @@
         });
   }
   void forward(const TunnelPtr &Item, std::size_t From, std::size_t Size) {
+    Item->Returned_ += From == 1 ? Size : 0;
+    if (Item->Returned_ > MaxBytes_) {
+      Error Ignored;
+      Item->Ends_[0].set_option(boost::asio::socket_base::linger(true, 0), Ignored);
+      close(*Item);
+      return;
+    }
     boost::asio::async_write(Item->Ends_[1 - From],
                              boost::asio::buffer(Item->Data_[From].data(), Size),
                              [this, Item, From](const Error &Failure, std::size_t) {
@@ -96,6 +108,7 @@
   tcp::acceptor Acceptor_;
   tcp::endpoint Target_;
   bool Cut_ = false;
+  std::size_t MaxBytes_ = std::numeric_limits<std::size_t>::max();
   std::vector<std::function<void()>> Held_;
 };
 
--- a/tests/unit/backend_gate_test.cpp
+++ b/tests/unit/backend_gate_test.cpp
@@ -16,17 +16,24 @@
 
 const std::string Host = "127.0.0.2";
 constexpr Duration Pause = std::chrono::milliseconds(30);
+/// More than the buffers of a connection take.
+constexpr std::size_t UploadBytes = 16'000'000;
 
 /// What the backend server writes for one request; "{id}" stands for the id of the request.
 struct Reply {
   std::string Text_;
   bool Close_ = false; ///< closes the connection, which resets it if input is unread
   bool Late_ = false;  ///< with Close_: after a pause, so that the node has read the text
+  bool Ended_ = false; ///< ends the sending side behind the text
 };
 
 const std::string Served = "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Signature: s1\r\n"
                            "Content-Length: 3\r\n\r\nyes";
 
+/// An answer that states no length, so that it ends with its connection.
+const std::string Unstated =
+    "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Signature: s\r\n\r\ntext";
+
 /// An answer with an empty body; no header of the id if the id is empty.
 std::string answer(unsigned Status, const std::string &Id, const std::string &More) {
   return "HTTP/1.1 " + std::to_string(Status) + " Status\r\n" +
@@ -45,6 +52,7 @@
   std::string CopyOnReuse_;           ///< written before each answer but the first on a connection
   std::vector<std::string> Requests_; ///< ids of the requests that arrived
   milliseconds Deadline_{1000};       ///< of the requests that are sent from now on
+  std::string LastBody_;              ///< of the last answer that a caller got
   int Accepted_ = 0;
 
   struct Connection {
@@ -95,6 +103,8 @@
     boost::replace_all(Item->Output_, "{id}", Id);
     boost::asio::async_write(Item->Socket_, boost::asio::buffer(Item->Output_),
                              [this, Item, Next](boost::system::error_code, std::size_t) {
+                               if (Next.Ended_)
+                                 Item->Socket_.shutdown(tcp::socket::shutdown_send);
                                if (Next.Close_ && Next.Late_)
                                  closeLate(Item);
                                else if (Next.Close_)
@@ -125,11 +135,21 @@
       Client.send(std::move(Request), std::chrono::seconds(3),
                   [&](node::HttpResult Result, const node::HttpResponse &Response) {
                     Statuses.push_back(Result == node::HttpResult::Answered ? Response.Status_ : 0);
+                    LastBody_ = Response.Body_;
                   });
     }
     runUntil([&] { return Statuses.size() == Ids.size(); });
     return Statuses;
   }
+  /// Prepares requests that are still written when the server answers.
+  void allowUploads() {
+    Deadline_ = milliseconds(2500); // time for the upload itself, with sanitizers too
+    json Config = json::parse(Store_.copy().Items_.at("op/config").first);
+    Config["Version"] = 4;
+    Config["Limits"] = {{"MaxBodyBytes", UploadBytes}};
+    Store_.put("op/config", Config.dump());
+    REQUIRE(runUntil([&] { return versionOf(Host) == 4; }));
+  }
   unsigned post(const std::string &Id, const std::string &Body = "") {
     return postAll({Id}, Body).front();
   }
@@ -247,19 +267,23 @@
 // Guards against the first part of an answer that callers get as a whole one, because the server
 // reset the connection while the request was still being written.
 TEST_CASE_METHOD(GateFixture, "backend_gate_answer_reset_during_upload_is_unknown") {
-  constexpr std::size_t UploadBytes = 16'000'000; // more than the buffers of a connection take
-  Deadline_ = milliseconds(2500);                 // time for the upload itself, with sanitizers too
-  json Config = json::parse(Store_.copy().Items_.at("op/config").first);
-  Config["Version"] = 4;
-  Config["Limits"] = {{"MaxBodyBytes", UploadBytes}};
-  Store_.put("op/config", Config.dump());
-  REQUIRE(runUntil([&] { return versionOf(Host) == 4; }));
-  Replies_ = {
-      {"HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Signature: s\r\n\r\npart", true, true}};
+  allowUploads();
+  Replies_ = {{Unstated, true, true}};
   CHECK(post("a", std::string(UploadBytes, 'x')) == 502);
   CHECK(Requests_ == std::vector<std::string>{"a"});
 }
 
+// Guards against a whole answer that is withheld because its server ends the connection before it
+// has read the request.
+TEST_CASE_METHOD(GateFixture, "backend_gate_answer_ended_in_order_during_upload_is_passed_on") {
+  const bool Late = GENERATE(false, true);
+  INFO("late " << Late);
+  allowUploads();
+  Replies_ = {{Unstated, true, Late, true}};
+  CHECK(post("a", std::string(UploadBytes, 'x')) == 200);
+  CHECK(LastBody_ == "text");
+}
+
 // Guards against an answer that is passed on with a malformed line of its head, or with a body that
 // is not the server's because that line was to state its length.
 TEST_CASE_METHOD(GateFixture, "backend_gate_answer_with_malformed_field_name_is_unknown") {
--- a/tests/unit/broken_answers_test.cpp
+++ b/tests/unit/broken_answers_test.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/post.hpp>
 #include <catch2/catch.hpp>
+#include <fmt/format.h>
 
 #include "ctl/node_page.h"
 #include "http_client_fixture.h"
@@ -11,6 +12,7 @@
 #include "node/clock.h"
 #include "node/codec_call.h"
 #include "node/peer_links.h"
+#include "standins/link_relay.h"
 #include "store_client.h"
 
 using namespace bronzestand;
@@ -48,12 +50,29 @@
     {"200", "", false},
 };
 
+/// A sound answer that its server resets before its end.
+std::vector<Reply> cutAnswers() {
+  const std::string Open = "HTTP/1.1 200 OK\r\n";
+  std::vector<Reply> Result;
+  for (const std::string &Rest :
+       {fmt::format("\r\n{}", Page),
+        fmt::format("Content-Length: {}\r\n\r\n{}", Page.size() + 1, Page),
+        fmt::format("Transfer-Encoding: chunked\r\n\r\n{:x}\r\n{}\r\n", Page.size(), Page)})
+    for (const bool Late : {false, true}) {
+      Reply Next{Open + Rest, true};
+      Next.Reset_ = true;
+      Next.Late_ = Late;
+      Result.push_back(Next);
+    }
+  return Result;
+}
+
 /// Sends page requests to a server whose answers are scripted.
 struct StoreAnswersFixture : ClientFixture {
   platform::StoreClient Store_{Io_, {"127.0.0.1", Acceptor_.local_endpoint().port()}};
 
-  platform::ReadResult read(const std::string &Text) {
-    Replies_ = {{Text, true}};
+  platform::ReadResult read(const Reply &Next) {
+    Replies_ = {Next};
     std::optional<platform::ReadResult> End;
     Store_.readPage("", [&End](platform::ReadResult Result, const auto &) { End = Result; });
     while (!End)
@@ -72,8 +91,8 @@
   ToolAnswersFixture(const ToolAnswersFixture &) = delete;
   ToolAnswersFixture &operator=(const ToolAnswersFixture &) = delete;
 
-  ctl::NodePage read(const std::string &Text) {
-    boost::asio::post(Io_, [this, Text] { Replies_ = {{Text, true}}; });
+  ctl::NodePage read(const Reply &Next) {
+    boost::asio::post(Io_, [this, Next] { Replies_ = {Next}; });
     return ctl::readPage("127.0.0.1:" + std::to_string(Port_), "/state");
   }
 
@@ -85,7 +104,8 @@
 struct LinkAnswersFixture : MeshFixture {
   const std::string Entry_ = "127.0.0.2";
   const std::string Other_ = "127.0.0.3";
-  const Settings Config_ = settingsOf(Other_);
+  const Settings Config_ = behindRelay();
+  standin::LinkRelay Relay_{Io_, {Other_, PeerPort_}, Config_.PeerListen_};
   PeerLinks Links_{Io_, Config_, wallMicroseconds()};
   Answer Next_;
   int Calls_ = 0;
@@ -108,25 +128,40 @@
   ~LinkAnswersFixture() { Links_.stop(); }
   LinkAnswersFixture(const LinkAnswersFixture &) = delete;
   LinkAnswersFixture &operator=(const LinkAnswersFixture &) = delete;
+
+private:
+  Settings behindRelay() const {
+    Settings Result = settingsOf(Other_);
+    Result.PeerListen_.Port_ = freePort();
+    return Result;
+  }
 };
 
 } // namespace
 
 // Guards against a page of the store that is taken from a broken answer.
 TEST_CASE_METHOD(StoreAnswersFixture, "broken_answers_of_store_are_not_taken") {
-  CHECK(read(BrokenAnswer().text()) == platform::ReadResult::Done);
+  CHECK(read({BrokenAnswer().text(), true}) == platform::ReadResult::Done);
   for (const BrokenAnswer &Broken : BrokenAnswers) {
     INFO(Broken.text());
-    CHECK(read(Broken.text()) == platform::ReadResult::Unreachable);
+    CHECK(read({Broken.text(), true}) == platform::ReadResult::Unreachable);
+  }
+  for (const Reply &Cut : cutAnswers()) {
+    INFO(Cut.Text_ << " late " << Cut.Late_);
+    CHECK(read(Cut) == platform::ReadResult::Unreachable);
   }
 }
 
 // Guards against a tool that shows a broken answer as the page of a node.
 TEST_CASE_METHOD(ToolAnswersFixture, "broken_answers_of_nodes_are_not_shown") {
-  CHECK(read(BrokenAnswer().text()).Code_ == ctl::ExitCode::Ok);
+  CHECK(read({BrokenAnswer().text(), true}).Code_ == ctl::ExitCode::Ok);
   for (const BrokenAnswer &Broken : BrokenAnswers) {
     INFO(Broken.text());
-    CHECK(read(Broken.text()).Code_ == ctl::ExitCode::Unreadable);
+    CHECK(read({Broken.text(), true}).Code_ == ctl::ExitCode::Unreadable);
+  }
+  for (const Reply &Cut : cutAnswers()) {
+    INFO(Cut.Text_ << " late " << Cut.Late_);
+    CHECK(read(Cut).Code_ == ctl::ExitCode::Unreadable);
   }
 }
 
@@ -148,7 +183,18 @@
     Next_.Headers_ = {{"Server-Signature", "s"}, Field};
     CHECK(statusOf(Entry_, "/w/1") == 502);
   }
-  Next_.Headers_ = {{"Server-Signature", "s"}, {"X-Extra", "a \t\xe9"}};
+  // All bytes that a name may have, and some of a value.
+  Next_.Headers_ = {{"Server-Signature", "s"}, {"!#$%&'*+-.^_`|~09AZaz", "a \t\xe9"}};
   CHECK(statusOf(Entry_, "/w/1") == 200);
   CHECK(Calls_ == 16);
 }
+
+// Guards against the first part of an answer that is passed on because its link was reset.
+TEST_CASE_METHOD(LinkAnswersFixture, "broken_answers_on_reset_link_are_unknown") {
+  constexpr std::size_t Bytes = 1'000'000;
+  Next_.Body_ = std::string(Bytes, 'y');
+  CHECK(statusOf(Entry_, "/w/1") == 200);
+  Relay_.resetAfter(Bytes + Bytes / 2);
+  CHECK(statusOf(Entry_, "/w/2") == 504); // the stand-in does not answer the query for it
+  CHECK(Calls_ == 2);
+}
--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -160,6 +160,23 @@
   CHECK(request("a", true, Upload).first == HttpResult::Lost);
 }
 
+// Guards against the first part of an answer that states its end and is taken as whole.
+TEST_CASE_METHOD(ClientFixture, "client_answer_with_stated_end_cut_during_upload_is_lost") {
+  const std::string Upload(MaxEndlessBytes, 'x');
+  const std::string Rest =
+      GENERATE("Content-Length: 9\r\n\r\nabc", "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+               "X-Extra: 1\r\n");
+  const bool Late = GENERATE(false, true);
+  const bool Shutdown = GENERATE(false, true);
+  INFO(Rest << " late " << Late << " shutdown " << Shutdown);
+  Reply Next{"HTTP/1.1 200 OK\r\nRequest-Id: a\r\n" + Rest, true};
+  Next.Reset_ = true;
+  Next.Late_ = Late;
+  Next.Shutdown_ = Shutdown;
+  Replies_ = {Next};
+  CHECK(request("a", true, Upload).first == HttpResult::Lost);
+}
+
 // Guards against a whole answer that is dropped because its connection ends during the upload.
 TEST_CASE_METHOD(ClientFixture, "client_whole_answer_during_upload_arrives") {
   const std::string Upload(MaxEndlessBytes, 'x');
@@ -178,28 +195,50 @@
 // Guards against an answer that is passed on with a malformed line of its head, or with a body that
 // ends elsewhere because that line was to state its length.
 TEST_CASE_METHOD(ClientFixture, "client_answer_with_malformed_field_name_is_lost") {
-  const char Byte = GENERATE(' ', '\t', '\0', '\x01', '\x0b', '\x1f', '\x7f');
+  constexpr int Delete = 0x7F;
   const std::string Field =
       GENERATE("Content-Length: 3", "Transfer-Encoding: chunked", "X-Extra: 1");
   const bool First = GENERATE(true, false);
   const std::string Sound = "Request-Id: a\r\nX-Before: 1\r\n";
-  for (const std::size_t Place : {std::size_t{0}, std::size_t{1}, Field.find(':')}) {
-    std::string Line = Field + "\r\n";
-    Line.insert(Place, 1, Byte);
-    INFO("byte " << static_cast<int>(Byte) << " at " << Place << " of " << Field
-                 << (First ? " in the first line" : " in a later line"));
-    const std::string Head = "HTTP/1.1 200 OK\r\n" + (First ? Line + Sound : Sound + Line);
-    const std::string Text = Head + "\r\nyes, and more";
-    Replies_ = {{Text, true}};
-    CHECK(request("a", true).first == HttpResult::Lost);
-    // The byte comes with the line before it, or after it.
-    for (const std::size_t Split : {Head.size() - Line.size(), Head.size() - Line.size() + 1}) {
-      Replies_ = {inTwoParts(Text.substr(0, Split), Text.substr(Split))};
+  for (int Byte = 0; Byte <= 0xFF; ++Byte) {
+    if (Byte > ' ' && Byte < Delete)
+      continue;
+    for (const std::size_t Place : {std::size_t{0}, std::size_t{1}, Field.find(':')}) {
+      std::string Line = Field + "\r\n";
+      Line.insert(Place, 1, static_cast<char>(Byte));
+      INFO("byte " << Byte << " at " << Place << " of " << Field
+                   << (First ? " in the first line" : " in a later line"));
+      const std::string Head = "HTTP/1.1 200 OK\r\n" + (First ? Line + Sound : Sound + Line);
+      const std::string Text = Head + "\r\nyes, and more";
+      Replies_ = {{Text, true}};
       CHECK(request("a", true).first == HttpResult::Lost);
+      if (Byte != ' ' && Byte != '\t')
+        continue;
+      // The byte comes with the line before it, or after it.
+      for (const std::size_t Split : {Head.size() - Line.size(), Head.size() - Line.size() + 1}) {
+        Replies_ = {inTwoParts(Text.substr(0, Split), Text.substr(Split))};
+        CHECK(request("a", true).first == HttpResult::Lost);
+      }
     }
   }
 }
 
+// Guards against a sound answer that is dropped because a name has an unusual byte.
+TEST_CASE_METHOD(ClientFixture, "client_answer_with_any_name_of_allowed_bytes_arrives") {
+  constexpr char First = '!';
+  constexpr char Last = '~';
+  const std::string Separators = "\"(),/:;<=>?@[\\]{}";
+  for (char Byte = First; Byte <= Last; ++Byte) {
+    const bool Allowed = Separators.find(Byte) == std::string::npos;
+    INFO(Byte);
+    Replies_ = {{"HTTP/1.1 200 OK\r\nRequest-Id: a\r\n" + std::string(1, Byte) +
+                 "x: 1\r\nContent-Length: 3\r\n\r\nabc"}};
+    const auto End = request("a", true);
+    CHECK(End.first == (Allowed ? HttpResult::Answered : HttpResult::Lost));
+    CHECK(End.second == (Allowed ? "abc" : ""));
+  }
+}
+
 // Guards against a sound answer that is dropped because its head or body looks like a malformed
 // one.
 TEST_CASE_METHOD(ClientFixture, "client_answer_with_blanks_elsewhere_arrives") {
