Remember a request that was refused with 421 on its connection

Cause: a backend server that had just started under a new id rejected a request that named the old one with 421. The entry learned of the new id and sent the request to it, over the same connection, and the server's late copy of the 421 was taken for the answer. A kept connection is not used again for a request that was refused on it, but HttpClient knew a refusal by Not-Executed alone, while BackendGate also knows one by the status 421, which has no such header.

The new test failed before: the second attempt got 503 in place of 200, on 1 connection in place of 2.

The gate now gives HttpClient the function by which it recognises refusals itself, so that both follow one rule.

--- a/src/mesh/backend_gate.cpp
+++ b/src/mesh/backend_gate.cpp
@@ -375,7 +375,7 @@
   // A call that was not sent ends before its entry gives it up as one that may have run.
   Options.ConnectTimeout_ = std::max(Left - MinTimeLeft, Left / 2);
   Options.EchoHeader_ = Names_.RequestId_;
-  Options.NotRunHeader_ = Names_.NotRun_;
+  Options.SaysNotRun_ = [this](const HttpResponse &Response) { return saysNotRun(Response); };
   Options.EndsByClose_ = true;
   Current.Request_ = Client_.send(
       std::move(Request), Left,
@@ -415,17 +415,20 @@
   return findHeader(Response.Headers_, Names_.Signature_).has_value() && isNamed(Request, Response);
 }
 
+bool BackendGate::saysNotRun(const HttpResponse &Response) const {
+  return Response.Status_ == WrongServerStatus ||
+         findHeader(Response.Headers_, Names_.NotRun_).has_value();
+}
+
 bool BackendGate::saysLeaving(const HttpResponse &Response) const {
   return findHeader(Response.Headers_, Names_.Leaving_) == LeavingValue;
 }
 
 // A refusal without the id of the request may be a copy of an earlier one, while the server runs
 // the request. The id proves that the server has seen this request, because the client does not use
-// a connection again for a request that was refused there.
+// a connection again for a request after saysNotRun() there.
 bool BackendGate::isRefusal(const Call &Request, const HttpResponse &Response) const {
-  const bool NotRun = Response.Status_ == WrongServerStatus ||
-                      findHeader(Response.Headers_, Names_.NotRun_).has_value();
-  return NotRun && isNamed(Request, Response);
+  return saysNotRun(Response) && isNamed(Request, Response);
 }
 
 Answer BackendGate::toAnswer(const Call &Request, HttpResult Result, HttpResponse &&Response) {
--- a/src/mesh/backend_gate.h
+++ b/src/mesh/backend_gate.h
@@ -129,6 +129,7 @@
   Answer toAnswer(const Call &Request, HttpResult Result, HttpResponse &&Response);
   /// Tells whether a response repeats the id of the request.
   bool isNamed(const Call &Request, const HttpResponse &Response) const;
+  bool saysNotRun(const HttpResponse &Response) const;
   bool isRefusal(const Call &Request, const HttpResponse &Response) const;
   bool isFromServer(const Call &Request, const HttpResponse &Response) const;
   bool saysLeaving(const HttpResponse &Response) const;
--- a/src/node/http_client.cpp
+++ b/src/node/http_client.cpp
@@ -451,19 +451,19 @@
     // An answer that does not name the request may belong to another one, so that the answer to
     // this one may follow.
     const bool Named = EchoValue_.empty() || Message.count(Options_.EchoHeader_) != 0;
-    if (!Options_.NotRunHeader_.empty() && Message.count(Options_.NotRunHeader_) != 0)
-      RefusedIds_.push_back(EchoValue_);
-    // Bytes behind the answer belong to no request.
-    Reusable = Message.keep_alive() && Written_ && Named && Foreign_ == 0 && Buffer_.size() == 0 &&
-               RefusedIds_.size() < MaxRefusedIds;
-    if (const auto Kept = keepAliveOf(Message[http::field::keep_alive]))
-      KeptUntil_ = Clock::now() + *Kept - KeepAliveMargin;
     Response.Status_ = Message.result_int();
     Response.ConnectionOpenedAt_ = OpenedAt_;
     for (const auto &Field : Message)
       if (!isHopByHop(std::string_view(Field.name_string().data(), Field.name_string().size())))
         Response.Headers_.push_back({std::string(Field.name_string()), std::string(Field.value())});
     Response.Body_ = std::move(Message.body());
+    if (Options_.SaysNotRun_ && Options_.SaysNotRun_(Response))
+      RefusedIds_.push_back(EchoValue_);
+    // Bytes behind the answer belong to no request.
+    Reusable = Message.keep_alive() && Written_ && Named && Foreign_ == 0 && Buffer_.size() == 0 &&
+               RefusedIds_.size() < MaxRefusedIds;
+    if (const auto Kept = keepAliveOf(Message[http::field::keep_alive]))
+      KeptUntil_ = Clock::now() + *Kept - KeepAliveMargin;
   } else if (Parser_) {
     if (Result == HttpResult::Invalid && Parser_->is_header_done())
       Response.Status_ = Parser_->get().result_int();
--- a/src/node/http_client.h
+++ b/src/node/http_client.h
@@ -35,10 +35,11 @@
   /// Header of the request that each answer repeats; empty if the server does not. An answer with
   /// another value belongs to an earlier request and is dropped.
   std::string EchoHeader_;
-  /// Header of answers that say that the request did not run. The server may send such an answer
-  /// once more, so a kept connection that carried one is not used for a request with the same value
-  /// of EchoHeader_. Empty if the server sends no such answers.
-  std::string NotRunHeader_;
+  /// Tells whether an answer says that the request did not run, so that the request may be sent
+  /// again. The server may send such an answer once more, so a kept connection that carried one is
+  /// not used for a request with the same value of EchoHeader_. Empty if the server sends no such
+  /// answers.
+  std::function<bool(const HttpResponse &)> SaysNotRun_;
   /// Bound on opening a connection; the time of the whole request counts too.
   Duration ConnectTimeout_ = std::chrono::hours(24);
   /// Lets the system probe the connection while the server is silent, because it may take long to
--- a/tests/fuzz/response_target.cpp
+++ b/tests/fuzz/response_target.cpp
@@ -33,7 +33,9 @@
     Request.Headers_ = {{"Host", "a"}, {"Request-Id", "q"}};
     node::SendOptions Options;
     Options.EchoHeader_ = "Request-Id";
-    Options.NotRunHeader_ = "Not-Run";
+    Options.SaysNotRun_ = [](const node::HttpResponse &Response) {
+      return node::findHeader(Response.Headers_, "Not-Run").has_value();
+    };
     Options.EndsByClose_ = Choice.below(2) == 0;
     std::size_t Ends = 0;
     node::HttpResult Result = node::HttpResult::NotSent;
--- a/tests/unit/backend_gate_test.cpp
+++ b/tests/unit/backend_gate_test.cpp
@@ -208,6 +208,17 @@
   CHECK(Accepted_ == 2);
 }
 
+// Guards against a request that runs twice, because the copy of a 421 without Not-Executed, which a
+// server at the address of an earlier one sent, is taken for the answer to the second attempt.
+TEST_CASE_METHOD(GateFixture, "backend_gate_copied_421_does_not_answer_next_attempt") {
+  CopyOnReuse_ = answer(421, "{id}", "");
+  Replies_ = {{CopyOnReuse_}};
+  CHECK(post("a") == 503);
+  CHECK(post("a") == 200);
+  CHECK(Requests_ == std::vector<std::string>{"a", "a"});
+  CHECK(Accepted_ == 2);
+}
+
 // Guards against a refusal that names its request and is not believed.
 TEST_CASE_METHOD(GateFixture, "backend_gate_refusal_with_id_on_kept_connection_is_believed") {
   Replies_ = {{Served}, {refusal(503, "{id}")}};
--- a/tests/unit/http_client_fixture.h
+++ b/tests/unit/http_client_fixture.h
@@ -139,7 +139,9 @@
     Request.Body_ = Body;
     SendOptions Options;
     Options.EchoHeader_ = "Request-Id";
-    Options.NotRunHeader_ = "Not-Run";
+    Options.SaysNotRun_ = [](const HttpResponse &Response) {
+      return findHeader(Response.Headers_, "Not-Run").has_value();
+    };
     Options.EndsByClose_ = EndsByClose;
     std::optional<std::pair<HttpResult, std::string>> End;
     Client_.send(
