Read trailers of answers to their end and drop them

The containers of the HTTP library throw std::length_error for a field of 65,534 bytes or more. Heads of answers are bounded below that, trailers only by the buffer of 128 KiB.

Failed before, with "field value too large" or "field name too large": client_answer_with_long_trailer_arrives, backend_gate_answer_with_long_trailer_is_passed_on, sound_answer_of_store_with_long_trailer_is_taken, sound_answer_of_node_with_long_trailer_is_shown. client_trailer_is_no_field_of_the_head failed with 4 fields in place of 1.

HttpClient reads answers with MessageParser too. A whole answer stays whole whatever its trailers say: before, they became fields of the head, so that one could say Not-Executed of an answer that a server had run.

--- a/src/node/http_client.cpp
+++ b/src/node/http_client.cpp
@@ -16,7 +16,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
+#include <boost/beast/http/read.hpp>
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
@@ -24,6 +24,7 @@
 #include "node/answer_head.h"
 #include "node/clock.h"
 #include "node/http_client_message.h"
+#include "node/message_parser.h"
 
 namespace bronzestand::node {
 
@@ -76,11 +77,10 @@
 /// chunks (sections 8.6 and 15.2), not even a length of zero. 101 is no interim response here,
 /// because the client asks for no other protocol. A wrong answer that states no length shows by
 /// its content, which begins no status line; see beginsStatusLine().
-bool isInterim(const http::response_header<> &Head) {
-  const unsigned Status = Head.result_int();
-  return Status >= FirstInterimStatus && Status < FirstFinalStatus &&
-         Status != SwitchingProtocols && Head.count(http::field::content_length) == 0 &&
-         Head.count(http::field::transfer_encoding) == 0;
+bool isInterim(const HttpResponse &Head) {
+  return Head.Status_ >= FirstInterimStatus && Head.Status_ < FirstFinalStatus &&
+         Head.Status_ != SwitchingProtocols && !findHeader(Head.Headers_, "Content-Length") &&
+         !findHeader(Head.Headers_, "Transfer-Encoding");
 }
 
 /// Tells whether bytes are a status line, or the first part of one.
@@ -138,7 +138,7 @@
 private:
   using Ptr = boost::intrusive_ptr<Connection>;
   using Clock = std::chrono::steady_clock;
-  using Parser = http::response_parser<http::string_body>;
+  using Parser = detail::MessageParser<false>;
   /// Goes on after bytes were added at the end of the buffer.
   using Step = void (Connection::*)(std::size_t Added);
 
@@ -330,8 +330,8 @@
 
 void Connection::onRead(const error_code &Failure) {
   if (Parser_->is_header_done()) {
-    const auto &Head = Parser_->get().base();
-    if (!isFinalStatus(Head.result_int()) && !isInterim(Head)) {
+    const HttpResponse &Head = Parser_->get();
+    if (!isFinalStatus(Head.Status_) && !isInterim(Head)) {
       finish(HttpResult::Invalid);
       return;
     }
@@ -342,7 +342,7 @@
   }
   if (!Parser_->is_done()) {
     const std::uint64_t Run = Run_;
-    Budget_->update(*this, Buffer_.capacity() + Parser_->get().body().capacity(),
+    Budget_->update(*this, Buffer_.capacity() + Parser_->get().Body_.capacity(),
                     Parser_->content_length().has_value());
     if (Run_ == Run && hasRoom())
       readBody();
@@ -357,7 +357,7 @@
 }
 
 bool Connection::hasRoom() {
-  const std::size_t Body = Parser_->get().body().size();
+  const std::size_t Body = Parser_->get().Body_.size();
   std::size_t Whole = Buffer_.capacity() + Body;
   if (const auto Length = Parser_->content_length())
     Whole = Buffer_.capacity() + std::min(*Length, MaxResponseBytes);
@@ -390,10 +390,11 @@
 }
 
 void Connection::onAnswer() {
-  const auto &Message = Parser_->get();
-  const bool Interim = !isFinalStatus(Message.result_int());
-  const bool Foreign = !EchoValue_.empty() && Message.count(Options_.EchoHeader_) != 0 &&
-                       Message[Options_.EchoHeader_] != EchoValue_;
+  const HttpResponse &Answer = Parser_->get();
+  const bool Interim = !isFinalStatus(Answer.Status_);
+  const bool Foreign =
+      !EchoValue_.empty() &&
+      findHeader(Answer.Headers_, Options_.EchoHeader_).value_or(EchoValue_) != EchoValue_;
   if (!Interim && !Foreign) {
     finish(HttpResult::Answered);
     return;
@@ -438,27 +439,26 @@
   HttpResponse Response;
   bool Reusable = false;
   if (Result == HttpResult::Answered) {
-    auto Message = Parser_->release();
+    Response = std::move(Parser_->get());
+    Response.ConnectionOpenedAt_ = OpenedAt_;
     // An answer that does not name the request may belong to another one, so that the answer to
     // this one may follow.
-    const bool Named = EchoValue_.empty() || Message.count(Options_.EchoHeader_) != 0;
-    Response.Status_ = Message.result_int();
-    Response.ConnectionOpenedAt_ = OpenedAt_;
-    for (const auto &Field : Message)
-      if (!isHopByHop(std::string_view(Field.name_string().data(), Field.name_string().size())))
-        Response.Headers_.push_back({std::string(Field.name_string()), std::string(Field.value())});
-    Response.Body_ = std::move(Message.body());
+    const bool Named = EchoValue_.empty() || findHeader(Response.Headers_, Options_.EchoHeader_);
+    if (const auto Kept = keepAliveOf(findHeader(Response.Headers_, "Keep-Alive").value_or("")))
+      KeptUntil_ = Clock::now() + *Kept - KeepAliveMargin;
+    auto &Fields = Response.Headers_;
+    Fields.erase(std::remove_if(Fields.begin(), Fields.end(),
+                                [](const Header &Field) { return isHopByHop(Field.Name_); }),
+                 Fields.end());
     if (Options_.SaysNotRun_ && Options_.SaysNotRun_(Response))
       RefusedIds_.push_back(EchoValue_);
     // Bytes behind the answer belong to no request.
-    Reusable = Message.keep_alive() && Written_ && Named && Foreign_ == 0 && Buffer_.size() == 0 &&
+    Reusable = Parser_->keep_alive() && Written_ && Named && Foreign_ == 0 && Buffer_.size() == 0 &&
                RefusedIds_.size() < MaxRefusedIds;
-    if (const auto Kept = keepAliveOf(Message[http::field::keep_alive]))
-      KeptUntil_ = Clock::now() + *Kept - KeepAliveMargin;
   } else if (Parser_) {
     if (Result == HttpResult::Invalid && Parser_->is_header_done())
-      Response.Status_ = Parser_->get().result_int();
-    std::string().swap(Parser_->get().body());
+      Response.Status_ = Parser_->get().Status_;
+    Parser_->dropBody();
   }
   Freed_ = Clock::now();
   error_code Ignored;
--- a/tests/unit/backend_gate_test.cpp
+++ b/tests/unit/backend_gate_test.cpp
@@ -389,3 +389,18 @@
   CHECK(LastHead_.find("\r\n" + Field + "\r\n") != std::string::npos);
   CHECK(post("b") == 200);
 }
+
+// Guards against a node that ends at an answer with a long trailer, for which the library throws,
+// and against a whole answer that callers do not get because of its trailers.
+TEST_CASE_METHOD(GateFixture, "backend_gate_answer_with_long_trailer_is_passed_on") {
+  const std::string Trailer =
+      GENERATE("X-Sum: " + std::string(66'000, '~'), std::string("Not-Executed: 1"));
+  INFO(Trailer.substr(0, 20));
+  Replies_ = {{"HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Signature: s\r\n"
+               "Transfer-Encoding: chunked\r\n\r\n3\r\nyes\r\n0\r\n" +
+               Trailer + "\r\n\r\n"}};
+  CHECK(post("a") == 200);
+  CHECK(LastBody_ == "yes");
+  CHECK(Requests_ == std::vector<std::string>{"a"});
+  CHECK(post("b") == 200);
+}
--- a/tests/unit/broken_answers_test.cpp
+++ b/tests/unit/broken_answers_test.cpp
@@ -67,6 +67,13 @@
   return Result;
 }
 
+/// A sound answer whose trailer is longer than the library's containers hold.
+std::string answerWithLongTrailer() {
+  return fmt::format("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{}\r\n0\r\n"
+                     "X-Long: {}\r\n\r\n",
+                     Page.size(), Page, std::string(66'000, 'x'));
+}
+
 /// Sends page requests to a server whose answers are scripted.
 struct StoreAnswersFixture : ClientFixture {
   platform::StoreClient Store_{Io_, {"127.0.0.1", Acceptor_.local_endpoint().port()}};
@@ -152,6 +159,17 @@
   }
 }
 
+// Guards against a process that ends at an answer with a long trailer, for which the HTTP library
+// throws, from the store.
+TEST_CASE_METHOD(StoreAnswersFixture, "sound_answer_of_store_with_long_trailer_is_taken") {
+  CHECK(read({answerWithLongTrailer()}) == platform::ReadResult::Done);
+}
+
+// Guards against the same in a tool.
+TEST_CASE_METHOD(ToolAnswersFixture, "sound_answer_of_node_with_long_trailer_is_shown") {
+  CHECK(read({answerWithLongTrailer()}).Code_ == ctl::ExitCode::Ok);
+}
+
 // Guards against a tool that shows a broken answer as the page of a node.
 TEST_CASE_METHOD(ToolAnswersFixture, "broken_answers_of_nodes_are_not_shown") {
   CHECK(read({BrokenAnswer().text(), true}).Code_ == ctl::ExitCode::Ok);
--- a/tests/unit/http_client_fixture.h
+++ b/tests/unit/http_client_fixture.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
@@ -46,6 +47,12 @@
          "\r\nContent-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body;
 }
 
+/// An answer in chunks with a body of three bytes, up to its trailers.
+inline std::string chunkedAnswerTo(const std::string &Id) {
+  return "HTTP/1.1 200 OK\r\nRequest-Id: " + Id +
+         "\r\nTransfer-Encoding: chunked\r\n\r\n3\r\none\r\n0\r\n";
+}
+
 /// A client and a server that answers the requests of all connections from one list.
 struct ClientFixture {
   boost::asio::io_context Io_;
@@ -53,8 +60,9 @@
   HttpClient Client_{Io_, {"127.0.0.1", Acceptor_.local_endpoint().port()}, 8};
   std::deque<Reply> Replies_;
   int Accepted_ = 0;
-  std::size_t Sent_ = 0;  ///< bytes of endless replies
-  std::size_t Ended_ = 0; ///< endless replies that the client has ended
+  std::size_t Sent_ = 0;            ///< bytes of endless replies
+  std::size_t Ended_ = 0;           ///< endless replies that the client has ended
+  std::vector<Header> LastHeaders_; ///< of the last answer
 
   struct Connection {
     explicit Connection(tcp::socket Socket) : Socket_(std::move(Socket)) {}
@@ -146,7 +154,8 @@
     std::optional<std::pair<HttpResult, std::string>> End;
     Client_.send(
         std::move(Request), Timeout,
-        [&End](HttpResult Result, const HttpResponse &Response) {
+        [this, &End](HttpResult Result, const HttpResponse &Response) {
+          LastHeaders_ = Response.Headers_;
           End.emplace(Result, Response.Body_);
         },
         {}, Options);
--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -192,6 +192,45 @@
   CHECK(request("a", true, Upload) == std::make_pair(HttpResult::Answered, std::string("abc")));
 }
 
+// Guards against a process that ends at a long trailer, for which the library throws whatever the
+// limit of a head is, and against a whole answer that is withheld because of it.
+TEST_CASE_METHOD(ClientFixture, "client_answer_with_long_trailer_arrives") {
+  const std::size_t Size = GENERATE(1, 65'533, 65'534, 65'536, 66'000, 100'000);
+  const bool InName = GENERATE(false, true);
+  INFO(Size << " bytes, in name " << InName);
+  const std::string Long(Size, 'x');
+  Replies_ = {{chunkedAnswerTo("a") + (InName ? Long + ": 1" : "X-Long: " + Long) + "\r\n\r\n"},
+              {answerTo("b", "two")}};
+  CHECK(request("a") == std::make_pair(HttpResult::Answered, std::string("one")));
+  CHECK(request("b") == std::make_pair(HttpResult::Answered, std::string("two")));
+  CHECK(Accepted_ == 1);
+}
+
+// Guards against a trailer that says of the answer what only its head may say: that the request did
+// not run, which request is answered, or a field that the caller gets.
+TEST_CASE_METHOD(ClientFixture, "client_trailer_is_no_field_of_the_head") {
+  Replies_ = {{chunkedAnswerTo("a") + "Not-Run: 1\r\nRequest-Id: b\r\nX-Extra: 1\r\n\r\n"},
+              {answerTo("a", "two")}};
+  CHECK(request("a") == std::make_pair(HttpResult::Answered, std::string("one")));
+  REQUIRE(LastHeaders_.size() == 1);
+  CHECK(LastHeaders_[0].Name_ == "Request-Id");
+  CHECK(LastHeaders_[0].Value_ == "a");
+  // The connection remembers no refusal.
+  CHECK(request("a").second == "two");
+  CHECK(Accepted_ == 1);
+}
+
+// Guards against a process that ends at a head with a long field: one within the bound of a head
+// arrives, a longer one is lost.
+TEST_CASE_METHOD(ClientFixture, "client_long_field_of_answer_is_bounded") {
+  const auto [Size, Result] = GENERATE(table<std::size_t, HttpResult>(
+      {{65'000, HttpResult::Answered}, {65'534, HttpResult::Lost}, {131'000, HttpResult::Lost}}));
+  INFO(Size << " bytes");
+  Replies_ = {{"HTTP/1.1 200 OK\r\nRequest-Id: a\r\nContent-Length: 0\r\nX-Long: " +
+               std::string(Size, 'x') + "\r\n\r\n"}};
+  CHECK(request("a").first == Result);
+}
+
 // Guards against an answer that is passed on with a malformed line of its head, or with a body that
 // ends elsewhere because that line was to state its length.
 TEST_CASE_METHOD(ClientFixture, "client_answer_with_malformed_field_name_is_lost") {
