Count the head of an answer as it arrives

A server that sends a head without end, in pieces that end within a line, made the node keep 9.9 MB of fields in half a second for one connection, until the time of the request was over.

Cause: the parser compares its bound with what is in the buffer only, and takes whole lines out of it.

Evidence: client_head_that_arrives_by_lines_is_bounded failed before: the request timed out in place of being lost.

HttpClient counts the bytes of a head too, so the bound no longer depends on how they are cut.

--- a/src/node/http_client.cpp
+++ b/src/node/http_client.cpp
@@ -148,6 +148,7 @@
   void readHead();
   void readMore(std::size_t Size, Step Next);
   void parseHead(std::size_t Added);
+  void takeHeadLines(error_code &Failure);
   void readSome();
   void onRead(const error_code &Failure);
   /// Tells whether there is room for the answer as far as its size is known; it waits if not.
@@ -177,7 +178,8 @@
   int Foreign_ = 0;
   int Interim_ = 0;
   bool Connected_ = false;
-  bool HeadSeen_ = false; ///< the head of the current answer
+  bool HeadSeen_ = false;     ///< the head of the current answer
+  std::size_t HeadBytes_ = 0; ///< bytes of it that the parser has taken
   bool Sent_ = false;
   bool Written_ = false;
   /// The write was told that the connection was reset or timed out. The system tells that once, so
@@ -277,6 +279,7 @@
   // The body begins when there is room for it.
   Parser_->eager(false);
   HeadSeen_ = false;
+  HeadBytes_ = 0;
   Fold_ = {};
   if (Buffer_.size() == 0)
     readHead();
@@ -313,13 +316,24 @@
   if (Fold_.put(Bytes.substr(Bytes.size() - Added)))
     Failure = http::error::bad_field;
   else
-    Buffer_.consume(Parser_->put(Buffer_.data(), Failure));
+    takeHeadLines(Failure);
   if (Failure == http::error::need_more)
     readHead();
   else
     onRead(Failure);
 }
 
+// The parser compares its bound with what is in the buffer only, and takes whole lines out of it.
+void Connection::takeHeadLines(error_code &Failure) {
+  const std::size_t Taken = Parser_->put(Buffer_.data(), Failure);
+  Buffer_.consume(Taken);
+  HeadBytes_ += Taken;
+  const std::size_t Pending = Parser_->is_header_done() ? 0 : Buffer_.size();
+  if (HeadBytes_ + Pending > MaxResponseHeaderBytes &&
+      (!Failure || Failure == http::error::need_more))
+    Failure = http::error::header_limit;
+}
+
 void Connection::readSome() {
   http::async_read_some(Socket_, Buffer_, *Parser_,
                         [Self = Ptr(this), Run = Run_](error_code Failure, std::size_t) {
--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -369,6 +369,22 @@
   }
 }
 
+// Guards against a head without a bound on its size, whose fields take the memory of the process:
+// the parser compares its bound with what is in the buffer only, and takes whole lines out of it.
+TEST_CASE_METHOD(ClientFixture, "client_head_that_arrives_by_lines_is_bounded") {
+  constexpr std::size_t MaxHeadBytes = 64UL * 1024;
+  const std::string Lines = GENERATE(std::string("a: 1\r\n"), std::string(100, 'b') + ": 1\r\nc");
+  INFO(Lines);
+  Replies_ = {{"HTTP/1.1 200 OK\r\nRequest-Id: a\r\nc", false, Lines}};
+  CHECK(request("a").first == HttpResult::Lost);
+  // What was sent and not read is in the buffers of the connection.
+  CHECK(Sent_ <= MaxEndlessBytes / 2);
+  CHECK(Client_.connections() == 0);
+  Replies_ = {{"HTTP/1.1 200 OK\r\nRequest-Id: b\r\n" + std::string(MaxHeadBytes / 8, 'n') +
+               ": 1\r\nContent-Length: 3\r\n\r\ntwo"}};
+  CHECK(request("b").second == "two");
+}
+
 namespace {
 
 /// A client that may hold MaxBytes of answers together.
