--- a/tests/unit/http_doors_test.cpp
+++ b/tests/unit/http_doors_test.cpp
@@ -58,13 +58,13 @@
       {CallerPort_, "/r/x"},     {CallerPort_, "/other/"},    {OperatorPort_, "/healthz"},
       {OperatorPort_, "/state"}, {*MetricsPort_, "/metrics"}, {PeerPort_, "/"}};
   const std::string Long(LongBytes, 'x');
+  const std::string LongName = Long + ": 1\r\n\r\n";
+  const std::string LongValue = "X-Long: " + Long + "\r\n\r\n";
   for (const auto &[Port, Path] : Listeners)
     for (const std::string &Text :
-         {requestTo("GET", Path, "X-Long: " + Long + "\r\n\r\n"),
-          requestTo("GET", Path, Long + ": 1\r\n\r\n"), requestTo("GET", Path + Long, "\r\n"),
-          requestTo(Long, Path, "\r\n"),
-          requestTo("POST", Path, Chunks + "X-Long: " + Long + "\r\n\r\n"),
-          requestTo("POST", Path, Chunks + Long + ": 1\r\n\r\n"),
+         {requestTo("GET", Path, LongValue), requestTo("GET", Path, LongName),
+          requestTo("GET", Path + Long, "\r\n"), requestTo(Long, Path, "\r\n"),
+          requestTo("POST", Path, Chunks + LongValue), requestTo("POST", Path, Chunks + LongName),
           requestTo("TRACE", Path, "Content-Length: 3\r\n\r\nabc"),
           requestTo("TRACE", Path, Chunks + "\r\n")}) {
       INFO(Path << " at port " << Port << ": " << Text.substr(0, 120));
