--- a/src/mesh/backend_gate.h
+++ b/src/mesh/backend_gate.h
@@ -129,6 +129,7 @@
   Answer toAnswer(const Call &Request, HttpResult Result, HttpResponse &&Response);
   /// Tells whether a response repeats the id of the request.
   bool isNamed(const Call &Request, const HttpResponse &Response) const;
+  /// Tells whether a response says that its request did not run, whichever request that is.
   bool saysNotRun(const HttpResponse &Response) const;
   bool isRefusal(const Call &Request, const HttpResponse &Response) const;
   bool isFromServer(const Call &Request, const HttpResponse &Response) const;
--- a/src/node/message_parser.h
+++ b/src/node/message_parser.h
@@ -18,8 +18,8 @@
 /// a field whose name or value has 65,534 bytes or more, while limits of heads may be larger and
 /// trailers have none. This one has no such bound.
 ///
-/// Trailers must be well-formed, and are dropped: they are no fields of the head, and none of them
-/// says anything of the request or answer that the head may say (RFC 9110, section 6.5.1).
+/// Trailers must be well-formed and are dropped, so that none is taken for a field of the head
+/// (RFC 9110, section 6.5.1).
 ///
 /// Errors: those of the library's parser, as error codes; it never throws one of the library's.
 /// Cost: linear in the bytes, each is copied once.
